--- /dev/null
+++ b/kelpwing/adapter.py
@@ -0,0 +1,307 @@
+"""Adapter between the simulator's wire and the decision module: framing, JSON and names. No decisions."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any, BinaryIO
+
+import orjson
+
+from kelpwing.api import (
+    Action,
+    Arrival,
+    Cancel,
+    ClientGone,
+    Effect,
+    Event,
+    Fail,
+    ListKind,
+    Log,
+    Outcome,
+    Probe,
+    ProbeResult,
+    Refuse,
+    RequestClass,
+    Result,
+    Scope,
+    Send,
+    ServerInfo,
+    ServerList,
+    ServerState,
+    SetTimer,
+    Settings,
+    StreamStarted,
+    TimerFired,
+    Watch,
+)
+from kelpwing.choice import Balancer
+
+EFFECTS = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
+RESULTS = {
+    "ok": Result.OK,
+    "error": Result.ERROR,
+    "full": Result.FULL,
+    "timeout": Result.TIMEOUT,
+    "connect_failed": Result.CONNECT_FAILED,
+    "reset": Result.RESET,
+    "cancelled": Result.CANCELLED,
+    "moot": Result.NOT_SENT,
+}
+LIST_KINDS = {
+    "INCREMENTAL": ListKind.CHANGES,
+    "FULL": ListKind.FULL,
+    "SAVED": ListKind.SAVED,
+    "FAILED": ListKind.FAILED,
+}
+STATES = {"active": ServerState.ACTIVE, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
+REPEAT_BIT = 2
+Message = dict[str, Any]
+
+
+class Malformed(Exception):
+    """Input that breaks the wire's rules; the text is for a person."""
+
+
+def choice(table: dict[str, Any], value: object, member: str) -> Any:
+    if not isinstance(value, str) or value not in table:
+        raise Malformed(f"unknown {member} {value!r}")
+    return table[value]
+
+
+def number(value: object, member: str) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise Malformed(f"{member} is not a number: {value!r}")
+    return float(value)
+
+
+def whole(value: object, member: str) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise Malformed(f"{member} is not a whole number: {value!r}")
+    return value
+
+
+def text(value: object, member: str) -> str:
+    if not isinstance(value, str):
+        raise Malformed(f"{member} is not a string: {value!r}")
+    return value
+
+
+def mapping(value: object, member: str) -> Message:
+    if not isinstance(value, dict):
+        raise Malformed(f"{member} is not an object")
+    return value
+
+
+def listing(value: object, member: str) -> list[Any]:
+    if not isinstance(value, list):
+        raise Malformed(f"{member} is not an array")
+    return value
+
+
+def read_class(raw: Message) -> RequestClass:
+    return RequestClass(
+        aim_ms=number(raw["AimMs"], "AimMs"),
+        deadline_ms=number(raw["HardLimitMs"], "HardLimitMs"),
+        effect=choice(EFFECTS, raw["Effect"], "Effect"),
+        scope=choice({s.value: s for s in Scope}, raw.get("KeyScope") or "all", "KeyScope"),
+        window_ms=number(raw.get("KeyTtlMs") or 0, "KeyTtlMs"),
+        worth=number(raw.get("Points", 1), "Points"),
+        late_worth=number(raw.get("LateWorth") or 0, "LateWorth"),
+        stream=bool(raw.get("Stream")),
+    )
+
+
+def read_settings(info: Message) -> Settings:
+    limits = mapping(info.get("Limits") or {}, "Limits")
+    rules = mapping(info.get("Obligations") or {}, "Obligations")
+    domain = mapping(info.get("Domain") or {}, "Domain")
+    tenants = [mapping(t, "Projects") for t in listing(info.get("Projects") or [], "Projects")]
+    return Settings(
+        classes=tuple(read_class(mapping(c, "Lanes")) for c in listing(info["Lanes"], "Lanes")),
+        proxies=whole(info.get("Balancers", 1), "Balancers"),
+        me=whole(info.get("Me", 0), "Me"),
+        zone=whole(info.get("Az") or 0, "Az"),
+        zones=max(1, len(listing(info.get("Dcs") or [], "Dcs"))),
+        quotas=tuple(number(t["QuotaPerS"], "QuotaPerS") for t in tenants),
+        over_share_worth=number(info.get("OverShareWorth", 1), "OverShareWorth"),
+        tick_ms=number(info.get("TickMs", 1), "TickMs"),
+        ask_for_list=info.get("Discovery") == "ask",
+        must_ask_ms=number(rules.get("MustAskInMs", 10000), "MustAskInMs"),
+        may_cancel=bool(limits.get("MayCancel")),
+        may_duplicate=bool(limits.get("MayDuplicate")),
+        may_probe=bool(limits.get("Probes")),
+        retry_after=bool(limits.get("RetryAfter")),
+        max_retry_after_ms=number(limits.get("MaxRetryAfterMs") or 0, "MaxRetryAfterMs"),
+        most_attempts=whole(limits.get("MostTries", 1), "MostTries"),
+        warm_keys=bool(domain.get("WarmKeys")),
+        start_capacity=number(rules.get("StartCapacity", 1), "StartCapacity"),
+        cold_ms=number(rules.get("ColdMs") or 0, "ColdMs"),
+        fall_multiple=number(rules.get("FallMultiple", 2), "FallMultiple"),
+        fall_ms=number(rules.get("OverloadForMs", 1000), "OverloadForMs"),
+    )
+
+
+def read_arrival(raw: Message, classes: int) -> Event:
+    cls, key = raw["Lane"], raw.get("Subject")
+    if type(cls) is not int or not 0 <= cls < classes:
+        raise Malformed(f"Lane is no known class: {cls!r}")
+    if key is not None:
+        key = whole(key, "Subject")
+    tenant = whole(raw.get("Tenant") or 0, "Tenant")
+    give_up, bits = number(raw["GiveUpAtMs"], "GiveUpAtMs"), whole(raw.get("Bitmap") or 0, "Bitmap")
+    return Arrival(text(raw["Call"], "Call"), cls, tenant, key, give_up, bool(bits & REPEAT_BIT))
+
+
+def read_outcome(raw: Message, _: int) -> Event:
+    return Outcome(
+        text(raw["Call"], "Call"),
+        whole(raw["Leg"], "Leg"),
+        choice(RESULTS, raw["How"], "How"),
+        number(raw["DelaySeenMs"], "DelaySeenMs"),
+        raw["Finished"] is True,
+    )
+
+
+def read_started(raw: Message, _: int) -> Event:
+    delay = number(raw["DelaySeenMs"], "DelaySeenMs")
+    return StreamStarted(text(raw["Call"], "Call"), whole(raw["Leg"], "Leg"), delay)
+
+
+def read_gone(raw: Message, _: int) -> Event:
+    return ClientGone(text(raw["Call"], "Call"))
+
+
+def read_entry(raw: Message) -> ServerInfo:
+    started = raw.get("LastStartMs")
+    return ServerInfo(
+        text(raw["Backend"], "Backend"),
+        choice(STATES, raw["State"], "State"),
+        whole(raw.get("RackZone") or 0, "RackZone"),
+        whole(raw.get("Shape") or 0, "Shape"),
+        whole(raw.get("Cohort") or 0, "Cohort"),
+        number(started, "LastStartMs") if started else None,
+        number(raw.get("Rating") or 1, "Rating"),
+    )
+
+
+def read_list(raw: Message, _: int) -> Event:
+    kind = choice(LIST_KINDS, raw["Mode"], "Mode")
+    entries = listing(raw.get("Records") or [], "Records")
+    return ServerList(kind, tuple(read_entry(mapping(e, "Records")) for e in entries))
+
+
+def read_probe(raw: Message, _: int) -> Event:
+    # A probe may fail for a cause with no name of its own here; only success is told apart.
+    result = RESULTS.get(text(raw["How"], "How"), Result.ERROR)
+    return ProbeResult(text(raw["Backend"], "Backend"), result, number(raw["DelaySeenMs"], "DelaySeenMs"))
+
+
+def read_ring(raw: Message, _: int) -> Event:
+    return TimerFired(whole(raw["Ref"], "Ref"))
+
+
+READERS: dict[str, Callable[[Message, int], Event] | None] = {
+    "Incoming": read_arrival,
+    "Reply": read_outcome,
+    "Started": read_started,
+    "CancelledByClient": read_gone,
+    "PeersKnown": read_list,
+    "ProbeDone": read_probe,
+    "Ring": read_ring,
+    "FromPeer": None,  # peers are not used
+}
+WRITERS: dict[type[Any], Callable[[Any], Message]] = {
+    Send: lambda a: {"what": "Deliver", "Call": a.request, "Backend": a.server, "LimitMs": a.limit_ms},
+    Refuse: lambda a: {"what": "NotNow", "Call": a.request, "ComeBackMs": a.retry_after_ms},
+    Fail: lambda a: {"what": "GiveUp", "Call": a.request},
+    Cancel: lambda a: {"what": "AbortAttempt", "Call": a.request, "Leg": a.attempt},
+    Probe: lambda a: {"what": "SoundOut", "Backend": a.server},
+    Watch: lambda a: {"what": "Subscribe", "Want": True},
+    SetTimer: lambda a: {"what": "Schedule", "OffsetMs": a.delay_ms, "Ref": a.token},
+    Log: lambda a: {"what": "NoteDown", "Msg": a.text},
+}
+
+
+class Host:
+    """One Balancer per instance; nothing is shared between them."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, tuple[Balancer, int]] = {}
+
+    def batch(self, line: bytes) -> bytes:
+        try:
+            message = orjson.loads(line)
+        except orjson.JSONDecodeError as error:
+            raise Malformed(f"line is not JSON: {error}") from None
+        message = mapping(message, "batch")
+        for member in ("TsMs", "news"):
+            if member not in message:
+                raise Malformed(f"batch without {member}")
+        now = number(message["TsMs"], "TsMs")
+        pending: dict[int, list[Event]] = {}
+        replies: list[Message] = []
+        for raw in listing(message["news"], "news"):
+            self.take(now, mapping(raw, "news entry"), pending, replies)
+        for proxy in list(pending):
+            self.flush(now, proxy, pending, replies)
+        return orjson.dumps({"cmds": replies})
+
+    def take(self, now: float, raw: Message, pending: dict[int, list[Event]], replies: list[Message]) -> None:
+        what, proxy = raw.get("what"), raw.get("ProxyId")
+        try:
+            if "what" not in raw or "ProxyId" not in raw:
+                raise KeyError("what" if "what" not in raw else "ProxyId")
+            if type(proxy) is not int:
+                raise Malformed(f"ProxyId is not a whole number: {proxy!r}")
+            if what == "Provision":
+                seed, info = whole(raw["Entropy"], "Entropy"), mapping(raw["Info"], "Info")
+                # What an instance held before a new start is void: its unread events go with it.
+                pending[proxy] = []
+                settings = read_settings(info)
+                self.instances[proxy] = (Balancer(settings, seed), len(settings.classes))
+                return
+            if proxy not in self.instances:
+                raise Malformed("instance was never provisioned")
+            if what == "Exit":
+                pending.pop(proxy, None)
+                del self.instances[proxy]
+                return
+            if not isinstance(what, str) or what not in READERS:
+                raise Malformed("unknown event")
+            reader = READERS[what]
+            if reader is not None:
+                pending.setdefault(proxy, []).append(reader(raw, self.instances[proxy][1]))
+        except KeyError as error:
+            raise Malformed(f"{what} for instance {proxy}: {error.args[0]} is missing") from None
+        except (Malformed, ValueError) as error:
+            raise Malformed(f"{what} for instance {proxy}: {error}") from None
+
+    def flush(self, now: float, proxy: int, pending: dict[int, list[Event]], replies: list[Message]) -> None:
+        try:
+            actions: list[Action] = self.instances[proxy][0].step(now, pending.pop(proxy))
+        except Exception as error:  # whatever broke in the module, the host of the wire is told and stops
+            text = f"{type(error).__name__}: {error}"
+            replies.append({"what": "GiveIn", "ProxyId": proxy, "Msg": text})
+            return
+        for action in actions:
+            message = WRITERS[type(action)](action)
+            message["ProxyId"] = proxy
+            replies.append(message)
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> int:
+    host = Host()
+    for line in source:
+        try:
+            reply = host.batch(line)
+        except Malformed as error:
+            print(f"kelpwing: {error}", file=sys.stderr)
+            return 2
+        sink.write(reply + b"\n")
+        sink.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(serve(sys.stdin.buffer, sys.stdout.buffer))
--- /dev/null
+++ b/kelpwing/choice.py
@@ -0,0 +1,723 @@
+"""Every decision of the balancer. Its types, events and actions are in api.py.
+
+Order of decisions, one call of `step` per batch of events:
+  1. Events in order: arrivals are judged (admit or refuse), outcomes teach and may ask for another
+     attempt, the list moves servers in and out, the beat expires, refills cold budgets and asks the list.
+  2. Dispatch: while a buffer holds work and a ready server has room, the head that has waited the
+     largest part of its aim goes first; the pick chooses its server.
+Settings (unit, reason). All else comes from the deployment's settings or from what was observed.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from heapq import heappop, heappush, nlargest
+from math import log, sqrt
+from random import Random
+from zlib import crc32
+
+from kelpwing.api import (
+    NEVER_RAN, Action, Arrival, Cancel, ClientGone, Effect, Event, Fail, ListKind, Log, Outcome, Refuse,
+    RequestClass, Result, Scope, Send, ServerInfo, ServerList, ServerState, SetTimer, Settings,
+    StreamStarted, TimerFired, Watch,
+)  # fmt: skip
+
+BEAT_MS = 25.0  # ms between housekeeping rounds: expiry and recovery need no finer grain
+WINDOW_OF_AIM = 0.5  # part of the aim: the detector's window, so a verdict comes while it still helps
+WINDOW_SENDS = 8  # sends a window must hold: fewer say nothing, so a sparse window is stretched
+WAIT_OF_SLACK = 0.08  # part of (aim - usual latency) that the least wait may take before the flag is set
+RELEASE_AIMS = 4.0  # aims after the flag over which level 4 is let in again
+LEVELS = (0.75, 0.5, 0.25)  # worth relative to the best class: at or above is level 1, 2, 3; below is 4
+OVER_BURST_S = 1.0  # s of quota that a tenant may use at once before it counts as beyond its share
+USAGE_STEP = 0.3  # weight of one second in a tenant's usage: some seconds even out chance
+PAYOFF_STEP = 0.1  # weight of one outcome in a server's payoff: the last ten or so count
+BONUS = 0.2  # payoff given to a server with no recent outcomes per root of log total: re-tries the idle
+PLAYS_KEEP = 0.8  # part of a server's outcome count kept each second: a verdict lasts ten seconds at most
+TIE = 0.1  # payoffs closer than this are equal: one outcome moves a payoff by as much
+START_LIMIT = 4.0  # requests of all proxies in flight at a server nothing is known of
+LATENCY_STEP = 1 / 16  # weight of one answer in a server's latency: tails must not steer the limit
+FLOOR_DRIFT = 1 / 400  # pull of one answer on the uncrowded latency: a slow spell is believed in the end
+QUEUE_LOW, QUEUE_HIGH = 2.0, 4.0  # of all proxies, waiting inside a server: below, raise; above, lower
+CROWD = 1 / 5  # part of the aim that answers of one server may take on average before its limit is cut
+FLOOR_LIMIT = 2.0  # requests of all proxies: the least limit of a server
+LIMIT_CUT = 0.75  # factor on the limit when too many wait there
+FAIL_CUT = 0.8  # factor on the limit after a failure that tells of load
+FAIR_SPREADS = 3.0  # mean deviations above the usual latency that an attempt needs to have a fair chance
+SILENT = 2.0  # usual latencies without an answer after which a server that holds requests may hang
+STRIKES = 3  # failures in a row after which a server rests
+REST_MS = (500.0, 8000.0)  # ms, first rest and the longest: doubled each time, jittered
+RETRY_SHARE = 0.1  # attempts beyond the first per arrival: retries can't add more than this to any load
+RETRY_BURST = 10.0  # retries saved up at most
+ASK_TURN_MS, ASK_SPREAD = 100.0, 0.7  # ms of each proxy's turn at the list; part of the obliged time for all
+ASK_RETRY_MS = 10.0  # ms of each proxy's turn after a failed call
+WARM_KEEP = 0.9  # part of the load known of a warm server that is kept each second without one to look at
+COLD_HEAT = 1.2  # times its part of a warm server's load that a cold one gets, or half the rule's multiple
+
+# "One of many" is a proxy whose part of START_LIMIT is under one request: it cannot judge a server alone.
+NEAR = 6  # servers of its own zone that such a proxy keeps to: enough to choose from, few enough to know
+ALLOW_UP, ALLOW_DOWN = 0.1, 0.2  # steps of its limit on all in flight: at one, level where a third are spoilt
+ALLOW_BURST = 4.0  # requests, beyond the limit, that may be in flight at once after idling
+ALLOW_LEAST = 0.05  # least such limit: one request in twenty usual latencies still looks
+SPOILT, CROWDED = 0.85, 3.0  # part of the aim, times the uncrowded latency: beyond either it was crowded
+FORGET = 0.1  # part of the way back to the usual payoff in a second without outcomes
+OVER_LEAST = 5.0  # least requests of quota that a tenant may use at once: chance must not look like excess
+
+GIVEN_UP = (Result.TIMEOUT, Result.CANCELLED)  # we stopped waiting, though the server may work on
+
+
+class Server:
+    """What this proxy knows of one server."""
+
+    def __init__(self, info: ServerInfo, proxies: int) -> None:
+        self.proxies = proxies
+        self.id, self.hash = info.server, crc32(info.server.encode())
+        self.started: float | None
+        self.state, self.zone, self.kind, self.cell = info.state, info.zone, info.kind, info.cell
+        self.inflight, self.rank, self.weight = 0, 0, 1.0
+        self.forget()
+
+    def forget(self) -> None:
+        """A process that has just started shares nothing with the one before it."""
+        self.limit, self.peak, self.samples = START_LIMIT / self.proxies, 0, 0
+        self.latency, self.floor, self.heard_count = 0.0, 0.0, 0
+        self.crowd = 0.0  # smoothed latency as a part of the aim
+        self.payoff, self.plays = 1.0, 0.0
+        self.strikes, self.rest_until, self.rest_ms = 0, 0.0, REST_MS[0]
+        self.answered, self.rate, self.tokens = 0, 0.0, 0.0
+        self.silent_from = 0.0  # its last answer, or the first send since it held nothing of ours
+        self.started, self.cold_until = None, 0.0
+
+    def room(self, now: float, each: float = 0.0) -> bool:
+        if self.rest_until > now:
+            return False
+        if self.strikes >= STRIKES:  # back from a rest: one request on trial, not a full load
+            return self.inflight == 0
+        if self.cold_until > now and self.tokens < 1.0:
+            return False
+        return self.inflight < max(self.limit, each)
+
+    def learn_latency(self, latency: float, part_of_aim: float) -> None:
+        """The limit follows the requests of ours that wait inside the server: limit x (1 - floor/latency)."""
+        self.heard_count += 1
+        step = max(LATENCY_STEP, 1 / self.heard_count)
+        self.latency += (min(latency, 2 * (self.latency or latency)) - self.latency) * step
+        self.crowd += (part_of_aim - self.crowd) * step
+        if self.heard_count <= 1 / LATENCY_STEP:  # a floor from one lucky answer would last for long
+            self.floor = self.latency
+        self.floor = min(self.floor + (self.latency - self.floor) * FLOOR_DRIFT, self.latency)
+        self.samples += 1
+        if self.samples < max(8, self.limit):
+            return
+        waiting = min(self.peak, self.limit) * (1 - self.floor / self.latency) * self.proxies
+        if waiting > QUEUE_HIGH or self.crowd > CROWD:
+            self.cut(LIMIT_CUT)
+        elif waiting < QUEUE_LOW and self.peak + 1 > self.limit:
+            self.limit += min(1.0, 2 / self.proxies)
+        self.samples, self.peak = 0, self.inflight
+
+    def cut(self, factor: float) -> None:
+        """Each proxy is one of several. Together they never go below one request at work and one to follow,
+        or the server would stand idle between two."""
+        self.limit = min(self.limit, max(FLOOR_LIMIT / self.proxies, self.limit * factor))
+
+
+class Attempt:
+    def __init__(self, server: Server, sent: float) -> None:
+        self.server, self.sent, self.open, self.maybe_ran = server, sent, True, True
+
+
+class Request:
+    def __init__(self, event: Arrival, spec: RequestClass, place: Endpoint, now: float, first: float) -> None:
+        self.id, self.cls, self.key, self.give_up = event.request, event.cls, event.key, event.give_up
+        self.spec, self.endpoint, self.arrived = spec, place, now
+        # Where late answers earn something a late repeat still does; failing it brings it back once more.
+        self.aim_end = (now if spec.late_worth > 0 else first) + spec.aim_ms
+        # After this an answer is worth nothing, or the client has left.
+        self.useful = event.give_up if spec.late_worth > 0 else min(event.give_up, self.aim_end)
+        self.attempts: list[Attempt] = []
+        self.last_call = event.give_up  # the last moment to send it
+        self.open = 0  # attempts without an outcome
+        self.held = self.over = self.stream = False
+
+    def first_run(self) -> Attempt | None:
+        """The earliest attempt that may have run: what the class allows counts from it."""
+        return next((a for a in self.attempts if a.maybe_ran), None)
+
+
+class Endpoint:
+    """Classes with one aim: a first-come buffer and its overload detector."""
+
+    def __init__(self, aim: float, tick: float) -> None:
+        self.aim, self.tick = aim, tick
+        self.queue: deque[Request] = deque()
+        self.latency = 0.0  # usual time from send to answer
+        self.slice_at, self.last_send, self.flagged_at = 0.0, 0.0, -1e9
+        self.low, self.low_before, self.count = 0.0, 0.0, 0  # least wait in this half window and the last
+
+    def note_send(self, now: float, wait: float) -> None:
+        if self.count >= WINDOW_SENDS / 2 and now - self.slice_at >= self.aim * WINDOW_OF_AIM / 2:
+            self.low_before, self.count, self.slice_at = self.low, 0, now
+        self.low = wait if self.count == 0 else min(self.low, wait)
+        self.count += 1
+        self.last_send = now
+
+    def head(self) -> Request | None:
+        while self.queue and not self.queue[0].held:
+            self.queue.popleft()
+        return self.queue[0] if self.queue else None
+
+    def excess(self, now: float) -> float:
+        """The windowed minimum wait over its threshold; above 1 the endpoint is overloaded."""
+        head = self.head()
+        if head is None:
+            return 0.0  # nothing waits: whatever an old window says, the next request leaves at once
+        low = min(self.low, self.low_before)
+        if now - self.last_send > self.aim * WINDOW_OF_AIM:
+            low = now - head.arrived  # nothing leaves: a stuck queue must not look like a calm one
+        return low / self.threshold()
+
+    def threshold(self) -> float:
+        return max(WAIT_OF_SLACK * (self.aim - self.latency), 2 * self.tick)  # ms
+
+
+class Balancer:
+    """One proxy's decisions. Feed it every event; carry out every action."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        settings.check()
+        self.settings, self.rng = settings, Random(seed)
+        self.sparse = settings.proxies > START_LIMIT  # one of many
+        by_aim = {a: Endpoint(a, settings.tick_ms) for a in sorted({c.aim_ms for c in settings.classes})}
+        self.endpoints = list(by_aim.values())
+        self.endpoint_of = [by_aim[c.aim_ms] for c in settings.classes]
+        self.patience = [0.0] * len(settings.classes)  # longest wait left to a client seen, by class
+        self.best_worth = max(c.worth for c in settings.classes)
+        self.quota_left = [q / settings.proxies * OVER_BURST_S for q in settings.quotas]
+        self.quota_at = [0.0] * len(settings.quotas)
+        self.part = 1 / settings.proxies  # of the deployment's traffic that comes to this proxy
+        self.asked = [0] * len(settings.quotas)  # first tries of each tenant in this second
+        self.usage = [0.0] * len(settings.quotas)  # smoothed rate of first tries over the quota
+        self.class_latency = [(0.0, 0.0)] * len(settings.classes)  # smoothed latency and deviation
+        self.all_latency = 0.0
+        self.crowd, self.crowd_samples = 0.0, 0  # smoothed latency as a part of the aim, all servers
+        self.servers: dict[str, Server] = {}
+        self.active: list[Server] = []
+        self.near: list[Server] = []  # those it sends to: all active, or as one of many its own few
+        self.near_size, self.each = 0, 0.0  # servers of each zone among them; least limit of one
+        self.allow = 1.0  # limit on all requests in flight, as one of many proxies
+        self.credit, self.credit_at, self.out_count = 1e9, 0.0, 0  # ms in flight still to use; attempts out
+        self.class_floor = [0.0] * len(settings.classes)  # uncrowded latency
+        self.warm_floor: dict[int, float] = {}  # uncrowded latency of a warm server, by kind
+        self.warm_rate: dict[int, float] = {}  # answers per second of a warm server, by kind
+        self.requests: dict[str, Request] = {}
+        self.due: list[tuple[float, int, Request, Server | None]] = []  # held ones, slots of given-up ones
+        self.outcomes = 1.0  # all outcomes lately, decayed like each server's plays
+        self.order, self.retries = 0, RETRY_BURST
+        self.beating, self.second_at, self.beat_at = False, 0.0, 0.0
+        self.ask_at: float | None = None
+        self.ask_failures = 0
+        self.out: list[Action] = []
+
+    def step(self, now: float, events: list[Event]) -> list[Action]:
+        self.out = []
+        if not self.beating and events:
+            self.start(now)
+        for event in events:
+            if isinstance(event, Arrival):
+                self.on_arrival(now, event)
+            elif isinstance(event, Outcome):
+                self.on_outcome(now, event)
+            elif isinstance(event, TimerFired):
+                self.on_beat(now)
+            elif isinstance(event, ClientGone):
+                self.on_client_gone(event)
+            elif isinstance(event, ServerList):
+                self.on_list(now, event)
+            elif isinstance(event, StreamStarted):
+                self.on_stream(event)
+        self.dispatch(now)
+        self.expire(now)
+        return self.out
+
+    def start(self, now: float) -> None:
+        self.beating = True
+        self.second_at = self.beat_at = self.credit_at = now
+        self.quota_at = [now] * len(self.quota_at)
+        self.out.append(SetTimer(BEAT_MS, 0))
+        if self.settings.ask_for_list:
+            # Proxies restarted together must not call the list service in the same moment: each has its
+            # turn. Past the time the settings oblige, a proxy counts as told of drains it never heard of.
+            proxies, me = self.settings.proxies, self.settings.me
+            span = min(ASK_TURN_MS * proxies, ASK_SPREAD * self.settings.must_ask_ms)
+            self.ask_at = now + span * (me % proxies + self.rng.random()) / proxies
+
+    # 1. Events
+
+    def on_arrival(self, now: float, event: Arrival) -> None:
+        spec, endpoint = self.settings.classes[event.cls], self.endpoint_of[event.cls]
+        level = self.level_of(now, spec, event.tenant)
+        if event.tenant < len(self.asked) and not event.repeat:
+            self.asked[event.tenant] += 1
+        self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
+        # A client's wait runs over all its tries: one that has less of it left than others had is a repeat,
+        # and its aim counts from the first. Clients don't say so everywhere.
+        left = event.give_up - now
+        self.patience[event.cls] = max(self.patience[event.cls], left)
+        request = Request(event, spec, endpoint, now, now - (self.patience[event.cls] - left))
+        self.requests[event.request] = request
+        if level >= 3:
+            excess = endpoint.excess(now)
+            if self.sparse:  # its buffer is mostly empty, and few waits are seen: the wait to come counts
+                wait = -self.refill_credit(now) * self.all_latency / self.allow
+                excess = max(excess, wait / endpoint.threshold())
+            if excess > 1:
+                endpoint.flagged_at = now
+            # Level 3 goes in proportion to the wait beyond the flag. Level 4 goes as soon as it is set and
+            # comes back by degrees: let in at once, it would fill the servers up to the next flag.
+            cleared = (now - endpoint.flagged_at) / (RELEASE_AIMS * endpoint.aim)
+            if self.rng.random() < (1 - cleared if level == 4 else excess / 3 - 1):
+                self.refuse(request, endpoint.aim * max(excess - 1, 1))
+                return
+        if min(event.give_up, request.useful) <= now + 2 * self.settings.tick_ms:
+            self.end(request)  # its time is over as it comes: no later batch could answer it
+        else:
+            self.hold(request, False)
+
+    def level_of(self, now: float, spec: RequestClass, tenant: int) -> int:
+        worth = spec.worth / self.best_worth
+        if tenant < len(self.quota_left):
+            rate = self.settings.quotas[tenant] * self.part  # the quota is for all proxies together
+            left = self.quota_left[tenant] + (now - self.quota_at[tenant]) * rate / 1000
+            left = min(left, max(rate * OVER_BURST_S, OVER_LEAST))
+            self.quota_at[tenant] = now
+            if left >= 1:
+                left -= 1
+            else:
+                worth *= self.settings.over_share_worth
+            self.quota_left[tenant] = left
+        return 1 + sum(worth < bound for bound in LEVELS)
+
+    def hold(self, request: Request, front: bool) -> None:
+        request.held, queue = True, request.endpoint.queue
+        (queue.appendleft if front else queue.append)(request)
+        # Sent later than this it can't be useful. At most half its time is set aside: were the usual
+        # latency above the aim, nothing would ever be sent again and the latency never be corrected.
+        spare = self.fair_chance(request)
+        request.last_call = min(request.useful - spare, request.give_up - BEAT_MS - 2 * self.settings.tick_ms)
+        self.at(min(request.last_call, request.aim_end - spare), request)
+
+    def fair_chance(self, request: Request) -> float:
+        """How long an attempt may take and still be an ordinary one."""
+        mean, spread = self.class_latency[request.cls]
+        return min(mean + FAIR_SPREADS * spread, request.endpoint.aim / 2)
+
+    def on_outcome(self, now: float, event: Outcome) -> None:
+        request = self.requests.get(event.request)
+        if request is None or event.attempt >= len(request.attempts):
+            return
+        attempt = request.attempts[event.attempt]
+        if not attempt.open:
+            return
+        attempt.open, attempt.maybe_ran = False, event.result not in NEVER_RAN
+        request.open -= 1
+        if event.result in GIVEN_UP:
+            # Giving up does not stop the work everywhere: the slot stays taken for as long again, or new
+            # work would pile up unseen behind what was given up.
+            self.at(now + event.delay, request, attempt.server)
+        else:
+            attempt.server.inflight -= 1
+        self.out_count -= 1
+        self.credit -= event.delay
+        self.learn(now, request, attempt.server, event)
+        if event.finished or request.over:
+            self.close(request)
+            return
+        if request.open == 0:
+            self.again(now, request, event.result)
+
+    def learn(self, now: float, request: Request, server: Server, event: Outcome) -> None:
+        # A delay of nothing, below the clock's grain, must not become a latency to divide by.
+        result, delay = event.result, max(event.delay, 0.001)
+        if result in GIVEN_UP:
+            # Were only the answers counted, each attempt given up would make the next look later still.
+            fair = self.fair_chance(request)
+            self.learn_class(request.cls, delay)
+            if delay < fair:
+                return  # sent too late to have a fair chance: says nothing of the server
+        if result in (Result.CANCELLED, Result.NOT_SENT):
+            return  # our own doing, likewise
+        server.plays = min(server.plays + 1, 1 / PAYOFF_STEP)
+        self.outcomes += 1
+        # The aim counts from the send here: a server isn't blamed for the wait in our buffer.
+        won = result is Result.OK and delay <= request.endpoint.aim
+        if self.sparse:
+            self.learn_allow(request, server, result, delay)
+        # Of few outcomes each counts for more, or one of many proxies would never tell servers apart.
+        step = max(PAYOFF_STEP, self.sparse / (1 + server.plays))
+        server.payoff += ((1.0 if won else 0.0) - server.payoff) * step
+        if result is Result.OK:
+            server.strikes, server.rest_ms, server.silent_from = 0, REST_MS[0], now
+            server.answered += 1
+            endpoint = request.endpoint
+            endpoint.latency = smooth(endpoint.latency, delay)
+            mean = self.learn_class(request.cls, delay)
+            self.all_latency = smooth(self.all_latency, delay)
+            part_of_aim = min(delay / endpoint.aim, 1.0)
+            if not self.sparse:
+                self.learn_crowd(part_of_aim)
+            # Classes differ in work: scale to the mix, so a run of long ones doesn't look like a queue.
+            server.learn_latency(delay * self.all_latency / mean, part_of_aim)
+            return
+        if result in (Result.FULL, Result.TIMEOUT):
+            server.cut(FAIL_CUT)
+        server.strikes += 1
+        if server.strikes >= STRIKES and server.rest_until <= now:
+            self.rest(now, server)
+
+    def learn_crowd(self, part_of_aim: float) -> None:
+        """All servers together: one of several proxies sees too few answers of each to cut limits in time."""
+        self.crowd += (part_of_aim - self.crowd) * LATENCY_STEP
+        self.crowd_samples += 1
+        if self.crowd_samples >= max(1 / LATENCY_STEP, sum(s.limit for s in self.active)):
+            self.crowd_samples = 0
+            for server in self.active if self.crowd > CROWD else ():
+                server.cut(LIMIT_CUT)
+
+    def learn_allow(self, request: Request, server: Server, result: Result, delay: float) -> None:
+        """One of many proxies has less than one request at each server: only a limit on all it has in flight
+        can follow the load, and only outcomes of all servers together are enough to learn it from."""
+        usual = min(CROWDED * (self.class_floor[request.cls] or 1e9), SPOILT * request.endpoint.aim)
+        if result in (Result.FULL, Result.TIMEOUT) or delay > usual:
+            if server.payoff > self.usual_payoff() / 2:  # a server known to be bad tells nothing of the rest
+                self.allow = max(ALLOW_LEAST, self.allow * (1 - ALLOW_DOWN))
+        elif result is Result.OK and self.allow < 2 + 2 * self.out_count:
+            self.allow += ALLOW_UP * sqrt(self.allow)
+
+    def learn_class(self, cls: int, delay: float) -> float:
+        mean, spread = self.class_latency[cls]
+        spread = spread + (abs(delay - mean) - spread) * LATENCY_STEP if mean else delay / 2
+        mean = smooth(mean, delay)
+        self.class_latency[cls] = (mean, spread)
+        floor = self.class_floor[cls] or mean
+        self.class_floor[cls] = min(floor + (mean - floor) * FLOOR_DRIFT, mean)
+        return mean
+
+    def rest(self, now: float, server: Server) -> None:
+        # When all are slow the trouble is not this server: more than half never rest, nor does a usual one.
+        resting = sum(1 for s in self.active if s.strikes >= STRIKES and s is not server)
+        if 2 * (resting + 1) > len(self.active) or server.payoff > self.usual_payoff() / 2:
+            server.strikes = 0
+            return
+        server.rest_until = now + server.rest_ms * self.rng.uniform(0.75, 1.25)
+        server.rest_ms = min(2 * server.rest_ms, REST_MS[1])
+        self.out.append(Log(f"rest {server.id}: {server.strikes} failures in a row"))
+
+    def usual_payoff(self) -> float:
+        return sum(s.payoff for s in self.near) / max(len(self.near), 1)
+
+    def again(self, now: float, request: Request, result: Result) -> None:
+        """An attempt failed and none is out: another one, a refusal or a failure."""
+        spec, ran = request.spec, request.first_run()
+        if result is Result.NOT_SENT or not self.may_follow(now, request):
+            self.end(request)
+        elif ran is None:
+            self.hold(request, True)
+        elif self.retries < 1:
+            self.end(request)
+        elif spec.effect is Effect.SAFE:
+            self.retries -= 1
+            self.hold(request, True)
+        else:
+            # Only the group that drops its repeats may see it again, and only in time: now or never.
+            group = [s for s in self.active if same_group(spec.scope, s, ran.server)]
+            group = [s for s in group if s.room(now, self.each)]
+            if group:
+                self.retries -= 1
+                self.send(now, request, self.pick(request, group))
+            else:
+                self.end(request)
+
+    def end(self, request: Request) -> None:
+        """The final answer for a request that will not be sent again."""
+        self.out.append(Fail(request.id))
+        self.close(request)
+
+    def refuse(self, request: Request, wait: float) -> None:
+        after = min(max(wait, 0.0), self.settings.max_retry_after_ms) if self.settings.retry_after else 0.0
+        self.out.append(Refuse(request.id, after))
+        self.close(request)
+
+    def close(self, request: Request) -> None:
+        """It is over; it is kept only until the attempts still out have ended."""
+        request.over, request.held = True, False
+        if request.open == 0:
+            del self.requests[request.id]
+
+    def on_client_gone(self, event: ClientGone) -> None:
+        if (request := self.requests.get(event.request)) is None:
+            return
+        if self.settings.may_cancel:
+            self.out.extend(Cancel(request.id, n) for n, a in enumerate(request.attempts) if a.open)
+        self.close(request)
+
+    def on_stream(self, event: StreamStarted) -> None:
+        if (request := self.requests.get(event.request)) is not None:
+            request.stream, request.held = True, False
+
+    def on_list(self, now: float, event: ServerList) -> None:
+        if event.kind is ListKind.FAILED:
+            self.ask_failures += 1
+            # At least each proxy's turn: hundreds that call every few seconds would keep the service down.
+            # A failed call lengthens the time obliged, so the longest wait is still within it.
+            turns = min(ASK_RETRY_MS * self.settings.proxies, self.settings.must_ask_ms)
+            wait = max(min(250.0 * 2**self.ask_failures, self.settings.must_ask_ms / 2), turns)
+            self.ask_at = now + wait * self.rng.uniform(0.5, 1.0)
+            return
+        if event.kind is not ListKind.SAVED:
+            self.ask_failures, self.ask_at = 0, None
+        if event.kind is not ListKind.CHANGES:
+            listed = {e.server for e in event.entries}
+            for name in [name for name in self.servers if name not in listed]:
+                self.servers[name].state = ServerState.GONE
+                del self.servers[name]
+        for entry in event.entries:
+            self.on_entry(now, entry)
+        self.active = [s for s in self.servers.values() if s.state is ServerState.ACTIVE]
+        if not self.near:
+            self.allow = max(ALLOW_LEAST, START_LIMIT * len(self.active) / self.settings.proxies)
+        self.choose_near(now)
+
+    def choose_near(self, now: float) -> None:
+        """Of many proxies each keeps to a few servers by hash, more with more traffic: few are soon known and
+        have few connections each. Cold ones only of the own zone: their budget is part of the load there."""
+        self.near = self.active
+        if self.sparse:
+            zone, size = self.settings.zone, max(NEAR, int(self.allow + 1))
+            ranked = sorted(self.active, key=lambda s: s.rank)
+            own = [s for s in ranked if s.zone == zone][:size]
+            far = [s for s in ranked if s.zone != zone and s.cold_until <= now][:size]
+            self.near, self.near_size = own + far, size
+            self.each = max(1.0, self.allow / max(len(own), 1))
+
+    def on_entry(self, now: float, entry: ServerInfo) -> None:
+        server = self.servers.get(entry.server)
+        if server is None:
+            if entry.state is ServerState.GONE:
+                return
+            server = self.servers[entry.server] = Server(entry, self.settings.proxies)
+            server.rank = affinity(self.settings.me + 1, server)
+        server.state, server.zone, server.kind, server.cell = entry.state, entry.zone, entry.kind, entry.cell
+        server.weight = max(entry.weight, 0.01)
+        if entry.state is ServerState.GONE:
+            del self.servers[entry.server]
+            return
+        if entry.started != server.started:
+            server.forget()
+            server.started = entry.started
+            if entry.started is not None and entry.started + self.settings.cold_ms > now:
+                server.cold_until = entry.started + self.settings.cold_ms
+                server.limit = min(1.0, server.limit)
+                # All proxies hear of it at once: their first requests must not come at once as well.
+                server.tokens = self.rng.random() if self.sparse else 0.0
+
+    def on_beat(self, now: float) -> None:
+        self.out.append(SetTimer(BEAT_MS, 0))
+        self.expire(now)
+        for server in [s for s in self.near if s.cold_until > now]:
+            self.refill(now, server)
+        self.beat_at = now
+        if self.ask_at is not None and now >= self.ask_at:
+            self.out.append(Watch())
+            # Should no word come back, ask anew before this proxy counts as told of what it never heard.
+            self.ask_at = now + self.settings.must_ask_ms / 2
+        if now - self.second_at >= 1000:
+            self.every_second(now)
+
+    def expire(self, now: float) -> None:
+        while self.due and self.due[0][0] <= now:
+            _, _, request, given_up = heappop(self.due)
+            if given_up is not None:
+                given_up.inflight -= 1
+            elif request.held:
+                self.time_up(now, request)
+
+    def at(self, when: float, request: Request, given_up: Server | None = None) -> None:
+        self.order += 1
+        heappush(self.due, (when, self.order, request, given_up))
+
+    def time_up(self, now: float, request: Request) -> None:
+        """A held request has reached the end of its use; a late answer, if worth something, is only for
+        times when there are servers to spare: under overload it costs a request that is still in time."""
+        if request.endpoint.excess(now) > 1 or now >= request.last_call:
+            self.end(request)
+        else:
+            self.at(min(now + 2 * BEAT_MS, request.last_call), request)
+
+    def may_follow(self, now: float, request: Request) -> bool:
+        """Whether another attempt is allowed and of use if those so far may have run."""
+        spec, ran = request.spec, request.first_run()
+        usual = min(self.class_latency[request.cls][0], spec.aim_ms / 2)
+        if len(request.attempts) >= self.settings.most_attempts or now + usual > request.useful:
+            return False
+        if ran is None or spec.effect is Effect.SAFE:
+            return True
+        return spec.effect is Effect.KEYED and now + 2 * self.settings.tick_ms < ran.sent + spec.window_ms
+
+    def every_second(self, now: float) -> None:
+        seconds, self.second_at = (now - self.second_at) / 1000, now
+        self.outcomes = 1 + self.outcomes * PLAYS_KEEP
+        self.find_part(seconds)
+        warm: dict[int, list[Server]] = {}
+        self.choose_near(now)
+        usual = self.usual_payoff()
+        for server in self.active:
+            server.plays *= PLAYS_KEEP
+            if server.plays < 1:  # under light load a server once bad would otherwise never be drawn again
+                server.payoff += max(usual - server.payoff, 0.0) * (FORGET if self.sparse else 1)
+            server.rate, server.answered = (server.rate + server.answered / seconds) / 2, 0
+            mine = not self.sparse or (server.zone == self.settings.zone and server in self.near)
+            if server.cold_until <= now and server.latency and mine:
+                warm.setdefault(server.kind, []).append(server)
+        # The better half tells what a server of this kind carries: slow and resting ones hide it. Held for
+        # a while, for when a release leaves no warm server to look at.
+        self.warm_rate = {kind: rate * WARM_KEEP for kind, rate in self.warm_rate.items()}
+        for kind, servers in warm.items():
+            rates = sorted(s.rate for s in servers)
+            half = rates if self.sparse else rates[len(rates) // 2 :]
+            self.warm_rate[kind] = max(self.warm_rate.get(kind, 0.0), sum(half) / len(half))
+            self.warm_floor[kind] = sum(s.floor for s in servers) / len(servers)
+
+    def find_part(self, seconds: float) -> None:
+        """Traffic is seldom split evenly: a proxy alone in its zone would judge all beyond their share. So
+        the tenant in the middle is taken to keep its share, if that makes the part more than one in N."""
+        for tenant, quota in enumerate(self.settings.quotas):
+            usage = self.asked[tenant] / seconds / max(quota, 0.001)
+            self.usage[tenant] += (usage - self.usage[tenant]) * USAGE_STEP
+            self.asked[tenant] = 0
+        if len(self.usage) > 1 and self.settings.zones > 1:
+            # No more than a whole zone's part: in a flood all are beyond their share, the middle one too.
+            middle = min(sorted(self.usage)[(len(self.usage) - 1) // 2], 1 / self.settings.zones)
+            self.part = max(middle, 1 / self.settings.proxies)
+
+    def refill(self, now: float, server: Server) -> None:
+        """A cold server's budget: its part of what we send to a warm one. What all proxies carry is under
+        a server's capacity, so the sum of their parts is under the rule, however traffic is split."""
+        settings = self.settings
+        age = max(0.0, 1 - (server.cold_until - now) / max(settings.cold_ms, 1.0))
+        part = settings.start_capacity + (1 - settings.start_capacity) * age
+        if server.heard_count * LATENCY_STEP >= 1 and server.kind in self.warm_floor:
+            # It has shown its speed: measured against the uncrowded latency of warm ones of its kind.
+            part = max(part, min(1.0, self.warm_floor[server.kind] / server.latency))
+        known = [self.warm_rate[server.kind]] if server.kind in self.warm_rate else self.warm_rate.values()
+        rate = min(known, default=0.0) * part * min(COLD_HEAT, settings.fall_multiple / 2) / 1000
+        # Nothing observed yet: one request a window, of all who keep to this server.
+        sharers = max(1.0, settings.proxies * self.near_size / max(len(self.active), 1))
+        rate = max(rate, 1 / settings.fall_ms / (sharers if self.sparse else 1))
+        burst = max(1.0, rate * settings.fall_ms / 4)
+        server.tokens = min(burst, server.tokens + rate * (now - self.beat_at))
+
+    # 2. Dispatch
+
+    def dispatch(self, now: float) -> None:
+        heads = [(e, h) for e in self.endpoints if (h := e.head()) is not None]
+        if not heads:
+            return
+        room = [s for s in self.near if s.room(now, self.each)]
+        if not room and self.sparse:  # nothing waits beside a ready server
+            room = [s for s in self.active if s.cold_until <= now and s.room(now, self.each)]
+        # Limits below one, the part of many proxies, add up: one each at every server would be too many. But
+        # a few servers that hang must not use up the sum: a silent one takes nothing from the others.
+        silent = now - SILENT * (self.all_latency or self.endpoints[-1].aim)
+        spare = self.refill_credit(now)
+        if not self.sparse:
+            spare = sum(max(s.limit - s.inflight, -1.0 if s.silent_from > silent else 0.0) for s in self.near)
+        while heads and room and spare > 0:
+            spare -= 1
+            # The one clear rule: the head that has waited the largest part of its aim goes first. So all
+            # endpoints feel a shortage of servers alike, and each one's flag sheds its own.
+            endpoint, request = max(heads, key=lambda eh: (now - eh[1].arrived) / eh[0].aim)
+            endpoint.queue.popleft()
+            request.held = False
+            if not request.attempts:
+                endpoint.note_send(now, now - request.arrived)
+            server = self.pick(request, room)
+            self.send(now, request, server)
+            if not server.room(now, self.each):
+                room.remove(server)
+            heads = [(e, h) for e in self.endpoints if (h := e.head()) is not None]
+
+    def refill_credit(self, now: float) -> float:
+        """The limit on all in flight holds on average, not at each moment: with a limit near one, two
+        requests that come together must not wait for one another. Returns the sends left."""
+        usual = self.all_latency or self.endpoints[0].aim / 4
+        full = (ALLOW_BURST + self.allow) * usual
+        self.credit = min(self.credit + self.allow * (now - self.credit_at), full)
+        self.credit_at = now
+        return self.credit / usual - self.out_count
+
+    def pick(self, request: Request, room: list[Server]) -> Server:
+        if request.attempts:
+            tried = [a.server for a in request.attempts]
+            room = [s for s in room if s not in tried] or room
+        if len(room) == 1:
+            return room[0]
+        if self.settings.warm_keys and (key := request.key) is not None:
+            # Servers do less work for a key met lately: every proxy draws the same two for it.
+            a, b = nlargest(2, room, key=lambda s: affinity(key, s))
+        elif self.sparse:
+            own = [s for s in room if s.zone == self.settings.zone]
+            a = self.draw(own or room)
+            b = self.draw([s for s in room if s is not a])
+            if b.zone != a.zone:  # crossing has its price: neither a tie nor the wish to know is a reason
+                return b if b.payoff - self.score(a) > TIE else a
+        else:
+            first = int(self.rng.random() * len(room))
+            second = int(self.rng.random() * (len(room) - 1))
+            a, b = room[first], room[second + (second >= first)]
+        gap = self.score(a) - self.score(b)
+        if abs(gap) < TIE:
+            return b if b.inflight < a.inflight else a
+        return a if gap > 0 else b
+
+    def draw(self, servers: list[Server]) -> Server:
+        """In proportion to registered size: few in flight, ties alone would load small servers like large."""
+        left = self.rng.random() * sum(s.weight for s in servers)
+        for server in servers:
+            left -= server.weight
+            if left < 0:
+                break
+        return server
+
+    def score(self, server: Server) -> float:
+        return server.payoff + BONUS * sqrt(log(1 + self.outcomes) / (1 + server.plays))
+
+    def send(self, now: float, request: Request, server: Server) -> None:
+        request.attempts.append(Attempt(server, now))
+        request.open += 1
+        self.out_count += 1
+        if server.inflight == 0:
+            server.silent_from = now
+        server.inflight += 1
+        server.peak = max(server.peak, server.inflight)
+        if server.cold_until > now:
+            server.tokens -= 1
+        left = max(min(request.useful - self.settings.tick_ms, request.give_up) - now, 1.0)
+        self.out.append(Send(request.id, server.id, left))
+
+
+def smooth(mean: float, value: float) -> float:
+    """The first value is taken whole, later ones by their weight."""
+    return mean + (value - mean) * (LATENCY_STEP if mean else 1)
+
+
+def affinity(key: int, server: Server) -> int:
+    """Rendezvous hash: the order of servers for a key is the same at every proxy, also as some leave."""
+    mixed = (key * 0x9E3779B97F4A7C15 ^ server.hash * 0xC2B2AE3D27D4EB4F) & 0xFFFFFFFFFFFFFFFF
+    mixed = ((mixed ^ mixed >> 29) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
+    return mixed ^ mixed >> 32
+
+
+def same_group(scope: Scope, a: Server, b: Server) -> bool:
+    if scope is Scope.ALL:
+        return True
+    return a.zone == b.zone if scope is Scope.ZONE else a.cell == b.cell
--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,346 @@
+"""The ordinary path: buffer, gate, detector, levels, shedding, pick."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from kelpwing.api import Arrival, Fail, Outcome, Refuse, RequestClass, Result, Send, Settings
+from kelpwing.choice import Balancer, Endpoint, Server
+from tests.support import Driver, fleet, of, settings
+
+
+def test_nothing_waits_beside_an_idle_ready_server() -> None:
+    driver = Driver(settings(), *fleet(1))
+    driver.arrive()
+    assert [s.server for s in of(Send, driver.last)] == ["10.0.0.0:80"]
+
+
+def test_gate_holds_beyond_the_limit_and_a_freed_slot_takes_the_head() -> None:
+    driver = Driver(settings(proxies=4), *fleet(1))
+    first, second, third = driver.arrive(), driver.arrive(), driver.arrive()
+    assert list(driver.sends) == [first]
+    assert [s.request for s in of(Send, driver.end(first))] == [second]
+    assert third not in driver.sends
+
+
+def test_slot_goes_to_the_head_that_waited_the_largest_part_of_its_aim() -> None:
+    classes = (RequestClass(1000.0, 3000.0), RequestClass(200.0, 3000.0))
+    driver = Driver(settings(*classes, proxies=4), *fleet(1))
+    first = driver.arrive(0)
+    driver.now += 5
+    older = driver.arrive(0, wait=3000)
+    driver.now += 10
+    pressed = driver.arrive(1, wait=3000)
+    assert [s.request for s in of(Send, driver.end(first))] == [pressed]
+    assert older not in driver.sends
+
+
+def test_pick_takes_the_higher_payoff() -> None:
+    driver = Driver(settings(), *fleet(2))
+    bad, good = driver.balancer.active
+    bad.payoff, bad.plays, good.plays = 0.2, 50.0, 50.0
+    driver.arrive()
+    assert list(driver.sends.values()) == [[good.id]]
+
+
+def test_bonus_tries_a_server_without_recent_outcomes_again() -> None:
+    driver = Driver(settings(), *fleet(2))
+    idle, busy = driver.balancer.active
+    driver.balancer.outcomes = 200.0
+    idle.payoff, idle.plays, busy.plays = 0.8, 0.0, 100.0
+    driver.arrive()
+    assert list(driver.sends.values()) == [[idle.id]]
+
+
+def test_ties_go_to_fewer_in_flight() -> None:
+    driver = Driver(settings(), *fleet(2))
+    used = driver.sends[driver.arrive()][0]
+    assert driver.sends[driver.arrive()][0] != used
+
+
+def test_payoff_is_one_inside_the_aim_and_zero_for_late_or_failed() -> None:
+    driver = Driver(settings(), *fleet(1))
+    server = driver.balancer.active[0]
+    server.payoff = 0.5
+    driver.end(driver.arrive(), after=299)
+    assert server.payoff == pytest.approx(0.55)
+    driver.end(driver.arrive(), after=301)
+    assert server.payoff == pytest.approx(0.495)
+    driver.end(driver.arrive(), Result.ERROR)
+    assert server.payoff == pytest.approx(0.4455)
+
+
+def stuck(*classes: RequestClass, **more: Any) -> Driver:
+    """One request at the only server, one held that can wait for long."""
+    driver = Driver(settings(*classes, proxies=4, **more), *fleet(1))
+    driver.arrive(0)
+    driver.arrive(0, wait=100_000)
+    return driver
+
+
+def endpoint_with_waits(*waits: float) -> tuple[Endpoint, float]:
+    driver = stuck()
+    endpoint, now = driver.balancer.endpoints[0], driver.now
+    endpoint.low, endpoint.low_before, endpoint.count = 0.0, 0.0, 0
+    for wait in waits:
+        now += 20
+        endpoint.note_send(now, wait)
+    return endpoint, now
+
+
+def test_flag_follows_the_least_wait_of_the_window() -> None:
+    endpoint, now = endpoint_with_waits(*[60.0] * 20)
+    assert endpoint.excess(now) > 1
+    endpoint.note_send(now + 1, 0.0)  # one immediate send is enough: no standing queue
+    assert endpoint.excess(now + 1) == 0
+
+
+def test_a_thin_window_does_not_flip_the_flag() -> None:
+    endpoint, now = endpoint_with_waits(0.0, 60.0, 60.0)
+    assert endpoint.excess(now) < 1
+
+
+def test_a_stuck_queue_counts_by_the_age_of_its_head() -> None:
+    endpoint, now = endpoint_with_waits(*[0.0] * 20)
+    assert endpoint.excess(now + 200) > 1
+
+
+def test_an_old_window_does_not_flag_an_empty_buffer() -> None:
+    endpoint, now = endpoint_with_waits(*[60.0] * 20)
+    endpoint.queue[0].held = False
+    assert endpoint.excess(now + 5) == 0
+
+
+def test_levels_come_from_worth_and_share() -> None:
+    classes = tuple(RequestClass(300.0, 900.0, worth=w) for w in (12.0, 7.0, 4.0, 1.0))
+    balancer = Balancer(settings(*classes, quotas=(2.0,), over_share_worth=0.05, proxies=2), 1)
+    assert [balancer.level_of(0.0, c, 5) for c in classes] == [1, 2, 3, 4]
+    assert [balancer.level_of(1.0, classes[0], 0) for _ in range(3)] == [1, 4, 4]
+    assert balancer.level_of(2001.0, classes[0], 0) == 1  # a second's quota has come in
+
+
+@pytest.mark.parametrize(("cls", "answer"), [(0, None), (1, None), (3, Refuse)])
+def test_under_the_flag_only_low_levels_are_refused(cls: int, answer: type | None) -> None:
+    classes = tuple(RequestClass(300.0, 900.0, worth=w) for w in (12.0, 7.0, 4.0, 1.0))
+    driver = stuck(*classes, retry_after=True, max_retry_after_ms=500)
+    driver.now += 160  # stuck longer than a window
+    driver.arrive(cls)
+    refused = of(Refuse, driver.last)
+    assert bool(refused) == (answer is Refuse)
+    if refused:
+        assert 0 < refused[0].retry_after_ms <= 500
+
+
+def test_level_three_is_refused_less_readily_than_four() -> None:
+    classes = tuple(RequestClass(300.0, 900.0, worth=w) for w in (12.0, 4.0, 1.0))
+    counts = {}
+    for cls in (1, 2):
+        driver = stuck(*classes)
+        endpoint = driver.balancer.endpoints[0]
+        for _ in range(9):
+            driver.now += 20
+            endpoint.note_send(driver.now, 1.5 * 0.08 * 300)
+        counts[cls] = sum(bool(of(Refuse, driver.last)) for _ in range(20) if driver.arrive(cls))
+    assert counts == {1: 0, 2: 20}
+
+
+def test_the_flag_is_per_endpoint() -> None:
+    classes = (RequestClass(300.0, 900.0, worth=12.0), RequestClass(500.0, 900.0, worth=1.0))
+    driver = stuck(*classes)
+    driver.now += 160
+    driver.arrive(1)
+    assert not of(Refuse, driver.last)
+
+
+def test_a_request_that_cannot_be_useful_is_failed_while_held() -> None:
+    driver = Driver(settings(proxies=4), *fleet(1))
+    driver.arrive()
+    held = driver.arrive()
+    assert [f.request for f in of(Fail, driver.beats(325))] == [held]
+
+
+def test_a_late_answer_is_waited_for_only_without_overload() -> None:
+    spec = RequestClass(300.0, 1000.0, late_worth=0.3)
+    driver = Driver(settings(spec, proxies=4), *fleet(1))
+    first, held = driver.arrive(), driver.arrive()
+    driver.balancer.endpoints[0].excess = lambda now: 0.0  # type: ignore[method-assign]
+    assert not of(Fail, driver.beats(400))
+    driver.balancer.endpoints[0].excess = lambda now: 2.0  # type: ignore[method-assign]
+    assert [f.request for f in of(Fail, driver.beats(75))] == [held]
+    assert first in driver.sends
+
+
+def limit_after(latencies: list[float], proxies: int, aim: float = 1000.0, start: float = 4.0) -> float:
+    server = Server(fleet(1)[0], proxies)
+    server.limit = start
+    for latency in latencies:
+        server.peak = max(server.peak, int(max(1, server.limit)))
+        server.learn_latency(latency, latency / aim)
+    return server.limit
+
+
+def test_limit_grows_while_answers_are_quick_and_shrinks_when_they_queue() -> None:
+    assert limit_after([50.0] * 100, 2) > 8
+    assert limit_after([50.0] * 20 + [200.0] * 200, 2) < 4
+
+
+def test_limit_is_shared_over_the_proxies_and_may_fall_below_one() -> None:
+    assert 2 / 6 <= limit_after([50.0] * 20 + [300.0] * 200, 6, start=1.0) < 1
+    assert limit_after([50.0] * 20 + [300.0] * 400, 1, start=4.0) >= 2
+
+
+def test_limit_is_cut_when_answers_take_much_of_the_aim_though_the_floor_is_high() -> None:
+    assert limit_after([150.0] * 200, 2, aim=300.0) == pytest.approx(1.0)
+    assert limit_after([150.0] * 200, 2, aim=3000.0) > 8
+
+
+def test_limit_recovers_after_a_crowded_spell() -> None:
+    assert limit_after([50.0] * 20 + [600.0] * 200 + [50.0] * 300, 2) > 8
+
+
+def test_limits_below_one_add_up_to_a_limit_on_all_in_flight() -> None:
+    driver = Driver(settings(proxies=4), *fleet(8))
+    for server in driver.balancer.active:
+        server.limit = 0.25
+    for _ in range(8):
+        driver.arrive()
+    assert len(driver.sends) == 2
+    driver.end("r0")
+    assert len(driver.sends) == 3
+
+
+def test_servers_that_hang_do_not_use_up_the_sum_of_limits() -> None:
+    driver = Driver(settings(proxies=4), *fleet(8))
+    for _ in range(20):
+        driver.end(driver.arrive(), after=20)
+    for server in driver.balancer.active:
+        server.limit = 0.25
+    held = [driver.arrive() for _ in range(3)]
+    assert [name in driver.sends for name in held] == [True, True, False]
+    driver.step(after=30)
+    assert held[2] not in driver.sends  # an answer may still be on its way
+    driver.step(after=30)
+    assert held[2] in driver.sends
+
+
+def test_same_events_and_seed_give_the_same_actions() -> None:
+    runs = []
+    for _ in range(2):
+        driver = Driver(settings(), *fleet(5), seed=7)
+        runs.append([driver.end(driver.arrive()) and driver.sends[f"r{i}"] for i in range(50)])
+    assert runs[0] == runs[1]
+
+
+def test_an_outcome_for_an_id_no_longer_held_is_passed_over() -> None:
+    driver = Driver(settings(), *fleet(1))
+    request = driver.arrive()
+    driver.end(request)
+    assert driver.step(Outcome(request, 0, Result.OK, 1.0, True)) == []
+    assert driver.step(Outcome("nobody", 3, Result.OK, 1.0, True)) == []
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"classes": ()},
+        {"classes": (RequestClass(-1.0, 100.0),)},
+        {"classes": (RequestClass(1.0, 100.0, worth=-1.0),)},
+        {"classes": (RequestClass(1.0, 100.0, worth=0.0),)},
+        {"classes": (RequestClass(1.0, 100.0, effect="odd"),)},  # type: ignore[arg-type]
+        {"classes": (RequestClass(1.0, 100.0, scope="odd"),)},  # type: ignore[arg-type]
+        {"classes": (RequestClass(1.0, float("nan")),)},
+    ],
+)
+def test_impossible_classes_are_named(bad: dict[str, object]) -> None:
+    with pytest.raises(ValueError, match="^(class 0: (aim|deadline|worth|effect|scope)|classes|worth)"):
+        Balancer(Settings(**bad), 1)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [(n, 0) for n in ("proxies", "most_attempts", "zones", "tick_ms", "must_ask_ms", "fall_ms")]
+    + [("quotas", (1.0, -1.0)), ("cold_ms", -1.0), ("fall_multiple", float("inf")), ("me", -1)],
+)
+def test_impossible_settings_are_named(name: str, value: object) -> None:
+    with pytest.raises(ValueError, match=f"^{name} must"):
+        Balancer(settings(**{name: value}), 1)
+
+
+def test_where_keys_are_warm_every_proxy_draws_the_same_two_servers_for_a_key() -> None:
+    used: dict[int, set[str]] = {}
+    for seed in range(6):
+        driver = Driver(settings(warm_keys=True), *fleet(9), seed=seed)
+        for key in range(20):
+            request = driver.arrive(key=key)
+            used.setdefault(key, set()).update(driver.sends[request])
+            driver.end(request)
+    assert all(len(servers) <= 2 for servers in used.values())
+    assert len({frozenset(s) for s in used.values()}) > 5
+
+
+def test_all_limits_are_cut_when_answers_of_all_servers_take_much_of_the_aim() -> None:
+    """Two answers of each server say nothing of it alone; twenty servers together say enough."""
+    driver = Driver(settings(proxies=4), *fleet(20))
+    servers = driver.balancer.active
+    before = sum(s.limit for s in servers)
+    for _ in range(80):
+        driver.end(driver.arrive(), after=150)
+    assert all(s.samples < 8 for s in servers)
+    assert sum(s.limit for s in servers) == pytest.approx(before / 2)  # two requests of all proxies at each
+
+
+def test_a_proxy_with_more_than_its_part_of_traffic_does_not_judge_everyone_beyond_their_share() -> None:
+    config = settings(quotas=(40.0, 10.0, 10.0, 10.0), over_share_worth=0.05, proxies=4, zones=2)
+    driver = Driver(config, *fleet(9))
+    for second in range(12):  # this proxy gets half of all traffic; tenant 0 asks for three times its share
+        for slot in range(80):
+            tenant = 0 if slot < 60 else 1 + slot % 3
+            driver.step(Arrival(f"{second}.{slot}", 0, tenant, None, driver.now + 900))
+            driver.beat(after=12.5)
+    balancer, spec = driver.balancer, config.classes[0]
+    assert balancer.part > 0.4
+    driver.now += 1000
+    assert [balancer.level_of(driver.now, spec, 1) for _ in range(4)] == [1] * 4
+    levels = [balancer.level_of(driver.now, spec, 0) for _ in range(60)]
+    assert 10 < levels.count(1) < 40
+
+
+def test_in_a_flood_of_all_tenants_the_part_is_at_most_a_zone() -> None:
+    config = settings(quotas=(10.0, 10.0, 10.0), over_share_worth=0.05, proxies=4, zones=3)
+    driver = Driver(config, *fleet(9))
+    for count in range(800):
+        driver.step(Arrival(f"{count}", 0, count % 3, None, driver.now + 900))
+        driver.beat(after=10)
+    assert driver.balancer.part == pytest.approx(1 / 3)
+
+
+def test_without_other_tenants_to_compare_the_part_is_one_in_n() -> None:
+    driver = Driver(settings(quotas=(10.0,), over_share_worth=0.05, proxies=4), *fleet(9))
+    for _ in range(200):
+        driver.arrive()
+        driver.beat()
+    assert driver.balancer.part == 0.25
+
+
+def test_level_four_comes_back_by_degrees_after_the_flag() -> None:
+    classes = (RequestClass(300.0, 900.0, worth=12.0), RequestClass(300.0, 900.0, worth=1.0))
+    refused = []
+    for since in (1.0, 600.0, 1201.0):
+        driver = Driver(settings(*classes), *fleet(40))
+        driver.balancer.endpoints[0].flagged_at = driver.now
+        driver.now += since
+        refused.append(sum(bool(of(Refuse, driver.last)) for _ in range(40) if driver.arrive(1)))
+    assert refused[0] >= 38 and 8 < refused[1] < 32 and refused[2] == 0
+
+
+def test_a_repeat_past_the_aim_of_its_first_try_is_not_sent() -> None:
+    for late_worth, sent in ((0.0, False), (0.3, True)):
+        driver = Driver(settings(RequestClass(300.0, 1000.0, late_worth=late_worth)), *fleet(2))
+        driver.end(driver.arrive(wait=1000))
+        driver.arrive(wait=690)  # its client has waited 310 ms already
+        assert bool(of(Send, driver.last)) is sent
+        assert bool(of(Fail, driver.last)) is not sent
+        driver.arrive(wait=900)
+        assert of(Send, driver.last)
--- /dev/null
+++ b/tests/test_properties.py
@@ -0,0 +1,235 @@
+"""Arbitrary legal event sequences against an oracle that knows rules 1 to 3 and the permissions."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from kelpwing.api import (
+    NEVER_RAN,
+    Action,
+    Arrival,
+    Cancel,
+    ClientGone,
+    Effect,
+    Event,
+    Fail,
+    ListKind,
+    Outcome,
+    Probe,
+    Refuse,
+    RequestClass,
+    Result,
+    Scope,
+    Send,
+    ServerInfo,
+    ServerList,
+    ServerState,
+    SetTimer,
+    Settings,
+    TimerFired,
+)
+from kelpwing.choice import Balancer
+
+CLASSES = (
+    RequestClass(300.0, 900.0, worth=3.0),
+    RequestClass(300.0, 900.0, Effect.UNSAFE, worth=1.0),
+    RequestClass(200.0, 900.0, Effect.KEYED, Scope.ALL, 250.0, late_worth=0.5),
+    RequestClass(200.0, 900.0, Effect.KEYED, Scope.CELL, 150.0, worth=0.5),
+    RequestClass(500.0, 900.0, Effect.KEYED, Scope.ZONE, 400.0, worth=2.0),
+)
+CONFIGS = (
+    Settings(CLASSES, proxies=3, may_cancel=True, most_attempts=4, tick_ms=5.0),
+    Settings(CLASSES, quotas=(5.0, 2.0), over_share_worth=0.1, most_attempts=2, ask_for_list=True),
+    Settings(CLASSES, proxies=2, may_cancel=True, may_duplicate=True, may_probe=True, most_attempts=6,
+             retry_after=True, max_retry_after_ms=500.0, warm_keys=True, start_capacity=0.1,
+             cold_ms=5000.0, tick_ms=5.0),
+    Settings(CLASSES, proxies=300, me=17, zones=2, quotas=(5.0, 0.0), over_share_worth=0.1, may_cancel=True,
+             most_attempts=3, ask_for_list=True, start_capacity=0.1, cold_ms=5000.0, tick_ms=5.0),
+    Settings(CLASSES, proxies=8, me=3, zone=1, zones=2, most_attempts=5, retry_after=True,
+             max_retry_after_ms=500.0, tick_ms=2.0),
+)  # fmt: skip
+NAMES = [f"s{i}" for i in range(6)]
+
+
+@dataclass
+class Sent:
+    server: str
+    at: float
+    limit: float
+    result: Result | None = None
+    cancelled: bool = False
+
+
+@dataclass
+class Asked:
+    cls: int
+    give_up: float
+    over: bool = False
+    attempts: list[Sent] = field(default_factory=list)
+
+
+class Oracle:
+    """Plays clients, servers' outcomes and the list; checks each action against the rules."""
+
+    def __init__(self, config: Settings, seed: int) -> None:
+        self.config, self.balancer, self.now = config, Balancer(config, seed), 0.0
+        self.asked: dict[str, Asked] = {}
+        self.listed: dict[str, ServerInfo] = {}
+        self.timers: list[float] = []
+
+    def step(self, events: list[Event]) -> None:
+        for action in self.balancer.step(self.now, events):
+            self.check(action)
+        for name, request in self.asked.items():
+            out = any(a.result is None for a in request.attempts)
+            assert request.over or out or self.now < request.give_up, f"{name} lost"
+
+    def check(self, action: Action) -> None:
+        if isinstance(action, SetTimer):
+            self.timers.append(self.now + action.delay_ms)
+        elif isinstance(action, Send):
+            self.check_send(action)
+        elif isinstance(action, (Fail, Refuse)):
+            request = self.asked[action.request]
+            assert not request.over, "answered twice"
+            request.over = True
+            if isinstance(action, Refuse):
+                assert not self.may_have_run(request) or CLASSES[request.cls].effect is Effect.SAFE
+                assert action.retry_after_ms <= self.config.max_retry_after_ms
+        elif isinstance(action, Cancel):
+            assert self.config.may_cancel
+            attempt = self.asked[action.request].attempts[action.attempt]
+            attempt.cancelled = True
+        elif isinstance(action, Probe):
+            assert self.config.may_probe
+
+    def may_have_run(self, request: Asked) -> list[Sent]:
+        return [a for a in request.attempts if a.result not in NEVER_RAN]
+
+    def check_send(self, action: Send) -> None:
+        request = self.asked[action.request]
+        spec = CLASSES[request.cls]
+        assert not request.over, "sent after its end"
+        entry = self.listed[action.server]
+        assert entry.state is ServerState.ACTIVE, "sent to a server that drains or is gone"
+        assert len(request.attempts) < self.config.most_attempts
+        ran = self.may_have_run(request)
+        if not self.config.may_duplicate:
+            assert all(a.result is not None for a in request.attempts), "two attempts at once"
+        if ran and spec.effect is Effect.UNSAFE:
+            raise AssertionError("unsafe sent again")
+        if ran and spec.effect is Effect.KEYED:
+            assert self.now <= ran[0].at + spec.window_ms, "repeat outside the window"
+            home = self.listed_before[ran[0].server]
+            assert spec.scope is not Scope.CELL or entry.cell == home.cell
+            assert spec.scope is not Scope.ZONE or entry.zone == home.zone
+        assert action.limit_ms > 0
+        request.attempts.append(Sent(action.server, self.now, action.limit_ms))
+
+    listed_before: dict[str, ServerInfo] = {}
+
+    def relist(self, kind: ListKind, entries: list[ServerInfo]) -> None:
+        if kind is ListKind.FAILED:
+            self.step([ServerList(kind)])
+            return
+        if kind is not ListKind.CHANGES:
+            self.listed = {}
+        for entry in entries:
+            self.listed[entry.server] = entry
+        self.listed_before = {**self.listed_before, **self.listed}
+        self.step([ServerList(kind, tuple(entries))])
+
+    def due(self) -> list[Event]:
+        """Timers that have run out and attempts that have reached their limit or their client's time."""
+        events: list[Event] = []
+        for when in [t for t in self.timers if t <= self.now]:
+            self.timers.remove(when)
+            events.append(TimerFired(0))
+        for name, request in self.asked.items():
+            for number, attempt in enumerate(request.attempts):
+                end = min(attempt.at + attempt.limit, request.give_up)
+                if attempt.result is None and attempt.cancelled:
+                    events.append(self.end(name, number, Result.CANCELLED))
+                elif attempt.result is None and self.now >= end:
+                    events.append(self.end(name, number, Result.TIMEOUT))
+        return events
+
+    def end(self, name: str, number: int, result: Result) -> Outcome:
+        request = self.asked[name]
+        attempt = request.attempts[number]
+        attempt.result = result
+        if result is Result.OK:
+            request.over = True
+        return Outcome(name, number, result, self.now - attempt.at, request.over)
+
+
+ENTRY = st.builds(
+    ServerInfo,
+    server=st.sampled_from(NAMES),
+    state=st.sampled_from([ServerState.ACTIVE] * 4 + [ServerState.DRAINING, ServerState.GONE]),
+    zone=st.integers(0, 1),
+    kind=st.integers(0, 1),
+    cell=st.integers(0, 1),
+    started=st.sampled_from([None, None, 1.0, 400.0]),
+)
+MOVE = st.one_of(
+    st.tuples(st.just("arrive"), st.integers(0, 4), st.sampled_from([0.0, 3.0, 150.0, 400.0, 900.0])),
+    st.tuples(st.just("arrive"), st.integers(0, 4), st.just(900.0)),
+    st.tuples(st.just("pass"), st.sampled_from([5.0, 20.0, 60.0, 200.0]), st.just(0)),
+    st.tuples(st.just("end"), st.integers(0, 30), st.sampled_from(list(Result))),
+    st.tuples(st.just("leave"), st.integers(0, 30), st.booleans()),
+    st.tuples(st.just("list"), st.sampled_from(list(ListKind)), st.lists(ENTRY, max_size=5)),
+)
+
+
+@settings(max_examples=250, derandomize=True, deadline=None, suppress_health_check=tuple(HealthCheck))
+@given(
+    st.sampled_from(CONFIGS),
+    st.integers(0, 3),
+    st.lists(ENTRY, max_size=6),
+    st.lists(MOVE, min_size=10, max_size=70),
+)
+def test_rules_hold_for_arbitrary_events(
+    config: Settings, seed: int, first: list[ServerInfo], moves: list[tuple[str, object, object]]
+) -> None:
+    oracle = Oracle(config, seed)
+    oracle.relist(ListKind.SAVED, [e for e in first if e.state is not ServerState.GONE])
+    for count, (what, a, b) in enumerate(moves):
+        if what == "arrive":
+            assert isinstance(a, int) and isinstance(b, float)
+            name = f"r{count}"
+            oracle.asked[name] = Asked(a, oracle.now + b + (0.001 if b else 0))
+            oracle.step([Arrival(name, a, count % 3, count % 4, oracle.asked[name].give_up)])
+        elif what == "pass":
+            assert isinstance(a, float)
+            for _ in range(int(a / 5)):
+                oracle.now += 5
+                oracle.step(oracle.due())
+        elif what == "list":
+            assert isinstance(a, ListKind) and isinstance(b, list)
+            oracle.relist(a, b)
+        else:
+            assert isinstance(a, int)
+            names = list(oracle.asked)
+            if not names:
+                continue
+            name = names[a % len(names)]
+            request = oracle.asked[name]
+            if what == "leave":
+                if not request.over:
+                    request.over = True
+                    oracle.step([ClientGone(name)] * (2 if b else 1))
+                continue
+            assert isinstance(b, Result)
+            waiting = [n for n, x in enumerate(request.attempts) if x.result is None]
+            if waiting and (b is not Result.CANCELLED or request.attempts[waiting[0]].cancelled):
+                oracle.step([oracle.end(name, waiting[0], b)])
+    for _ in range(500):  # all that is left comes to its end
+        oracle.now += 5
+        oracle.step(oracle.due())
+    assert all(r.over for r in oracle.asked.values())
+    assert oracle.balancer.requests == {}
+    assert all(s.inflight == 0 for s in oracle.balancer.servers.values())
