--- a/kelpwing/adapter.py
+++ b/flintlatch/adapter.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from kelpwing.api import (
+from flintlatch.api import (
     Action,
     Arrival,
     Cancel,
@@ -35,7 +35,7 @@
     TimerFired,
     Watch,
 )
-from kelpwing.choice import Balancer
+from flintlatch.choice import Balancer
 
 EFFECTS = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
 RESULTS = {
@@ -296,7 +296,7 @@
         try:
             reply = host.batch(line)
         except Malformed as error:
-            print(f"kelpwing: {error}", file=sys.stderr)
+            print(f"flintlatch: {error}", file=sys.stderr)
             return 2
         sink.write(reply + b"\n")
         sink.flush()
--- a/kelpwing/choice.py
+++ b/flintlatch/choice.py
@@ -16,7 +16,7 @@
 from random import Random
 from zlib import crc32
 
-from kelpwing.api import (
+from flintlatch.api import (
     NEVER_RAN, Action, Arrival, Cancel, ClientGone, Effect, Event, Fail, ListKind, Log, Outcome, Refuse,
     RequestClass, Result, Scope, Send, ServerInfo, ServerList, ServerState, SetTimer, Settings,
     StreamStarted, TimerFired, Watch,
--- a/kelpwing/__init__.py
+++ /dev/null
@@ -1,7 +0,0 @@
-"""kelpwing: the decisions of an HTTP load balancer run as a small bank of proxies."""
-
-from kelpwing.api import Settings
-from kelpwing.choice import Balancer
-
-__all__ = ["Balancer", "Settings"]
-__version__ = "0.1.0"
--- a/tests/support.py
+++ b/tests/support.py
@@ -5,7 +5,7 @@
 from itertools import count
 from typing import Any, TypeVar
 
-from kelpwing.api import (
+from flintlatch.api import (
     Action,
     Arrival,
     ListKind,
@@ -18,7 +18,7 @@
     Settings,
     TimerFired,
 )
-from kelpwing.choice import Balancer
+from flintlatch.choice import Balancer
 
 A = TypeVar("A")
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from kelpwing.adapter import Host
-from kelpwing.choice import Balancer
+from flintlatch.adapter import Host
+from flintlatch.choice import Balancer
 
 INFO: dict[str, Any] = {
     "Balancers": 2,
@@ -30,7 +30,7 @@
 
 def run(*lines: str) -> tuple[int, list[dict[str, Any]], str]:
     done = subprocess.run(
-        [sys.executable, "-m", "kelpwing.adapter"],
+        [sys.executable, "-m", "flintlatch.adapter"],
         input="".join(line + "\n" for line in lines),
         capture_output=True,
         text=True,
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from kelpwing.api import ListKind, RequestClass, Result, ServerInfo, ServerList
+from flintlatch.api import ListKind, RequestClass, Result, ServerInfo, ServerList
 from tests.support import Driver, fleet, settings
 
 MANY = {"proxies": 300, "zones": 2}
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from kelpwing.api import Arrival, Fail, Outcome, Refuse, RequestClass, Result, Send, Settings
-from kelpwing.choice import Balancer, Endpoint, Server
+from flintlatch.api import Arrival, Fail, Outcome, Refuse, RequestClass, Result, Send, Settings
+from flintlatch.choice import Balancer, Endpoint, Server
 from tests.support import Driver, fleet, of, settings
 
 
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -7,7 +7,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from kelpwing.api import (
+from flintlatch.api import (
     NEVER_RAN,
     Action,
     Arrival,
@@ -31,7 +31,7 @@
     Settings,
     TimerFired,
 )
-from kelpwing.choice import Balancer
+from flintlatch.choice import Balancer
 
 CLASSES = (
     RequestClass(300.0, 900.0, worth=3.0),
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from kelpwing.api import (
+from flintlatch.api import (
     Action,
     ListKind,
     Outcome,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from kelpwing.api import (
+from flintlatch.api import (
     Cancel,
     ClientGone,
     Effect,
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-LINES = (Path(__file__).parent.parent / "kelpwing" / "choice.py").read_text().splitlines()
+LINES = (Path(__file__).parent.parent / "flintlatch" / "choice.py").read_text().splitlines()
 
 
 def test_module_has_at_most_650_lines() -> None:
