Serve clients on real sockets

Cause: the decision module had no proxy round it. This adds the frontend, pools with attempts, the watch on the list, and the engine that joins them to the module; settings move to a module that both programs read.

--- /dev/null
+++ b/flintlatch/__main__.py
@@ -0,0 +1,105 @@
+"""One proxy on real sockets: reads its configuration, wires the parts, and stops on SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+from typing import Any
+
+import orjson
+import uvloop
+
+from flintlatch.api import ListKind, Settings
+from flintlatch.net.discovery import Discovery, Listing, read_listing
+from flintlatch.net.engine import Engine, log
+from flintlatch.net.frontend import Frontend
+from flintlatch.net.http1 import split_address
+from flintlatch.settings import Malformed, Wire, mapping, read_settings, read_wire, text, whole
+
+ACCEPT_ON_S = 0.55  # s after SIGTERM in which connections still come, and a little more for a busy machine
+SPARE_SOCKETS = 64  # descriptors for the program itself, discovery, and those that are just closing
+BACKEND_PART = 0.35  # of the other descriptors: requests in flight are fewer than open client connections
+
+
+class Config:
+    """What the platform tells the proxy, checked; Malformed says what is wrong with it."""
+
+    def __init__(self, env: dict[str, str]) -> None:
+        path = env.get("LB_CONFIG")
+        if not path:
+            raise Malformed("LB_CONFIG is not set")
+        try:
+            with open(path, "rb") as file:
+                raw = mapping(orjson.loads(file.read()), "configuration")
+        except OSError as error:
+            raise Malformed(f"{path}: {error.strerror}") from None
+        except orjson.JSONDecodeError as error:
+            raise Malformed(f"{path}: not JSON: {error}") from None
+        try:
+            info = mapping(raw["settings"], "settings")
+            self.settings: Settings = read_settings(info)
+            self.settings.check()
+            self.wire: Wire = read_wire(info)
+            self.known: Listing = read_listing(raw["known"], self.wire)
+            self.name = env.get("LB_NAME") or text(raw["name"], "name")
+            self.listen = env.get("LB_LISTEN") or text(raw["listen"], "listen")
+            self.discovery = env.get("LB_DISCOVERY") or text(raw["discovery"], "discovery")
+            self.seed = int(text(raw["seed"], "seed"), 16)
+            limits: dict[str, Any] = mapping(raw.get("limits") or {}, "limits")
+            self.sockets = whole(limits.get("sockets", 1024), "sockets")
+            for address in (self.listen, self.discovery):
+                split_address(address)
+        except KeyError as error:
+            raise Malformed(f"{path}: {error.args[0]} is missing") from None
+        except ValueError as error:
+            raise Malformed(f"{path}: {error}") from None
+
+
+async def serve(config: Config) -> None:
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(
+        lambda _, context: log(f"bug: {context.get('message')}: {context.get('exception')!r}")
+    )
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    sockets = max(config.sockets - SPARE_SOCKETS, SPARE_SOCKETS)
+    to_backends = int(sockets * BACKEND_PART)
+    engine = Engine(config.settings, config.wire, config.seed, to_backends)
+    engine.discovery = Discovery(
+        config.discovery, config.wire, config.known.rev, engine.on_list, engine.on_list_failure
+    )
+    engine.on_list(config.known, ListKind.SAVED)
+    frontend = Frontend(engine, config.settings, config.wire, sockets - to_backends)
+    log(f"{config.name} listens on {frontend.listen(config.listen)}")
+    # What start-up made stays for good: the collector need not walk it in the middle of a request.
+    gc.collect()
+    gc.freeze()
+    await stop.wait()
+    log("stopping")
+    frontend.stop_keeping()
+    await asyncio.sleep(ACCEPT_ON_S)
+    await frontend.finish(max(c.deadline_ms for c in config.settings.classes) / 1000)
+    engine.close()
+    log("stopped")
+
+
+def main() -> int:
+    try:
+        config = Config(dict(os.environ))
+    except Malformed as error:
+        log(str(error))
+        return 2
+    try:
+        uvloop.run(serve(config))
+    except OSError as error:  # the address to listen on is not to be had
+        log(str(error))
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/flintlatch/net/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy on real sockets: carries out what the decision module decides."""
--- /dev/null
+++ b/flintlatch/net/backends.py
@@ -0,0 +1,243 @@
+"""Connections to backends and the attempts on them: pools by uid, limits, and how each attempt ended."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from flintlatch.api import Result, ServerState
+from flintlatch.net.clock import now_ms
+from flintlatch.net.discovery import Target
+from flintlatch.net.http1 import Exchange, Response
+
+IDLE_PART = 0.6  # part of the backend's idle limit after which we close first: a late reuse ends as a reset
+SWEEPS = 20  # looks at idle connections within that limit
+
+
+class Attempt:
+    """One sending of a request, or a probe, to one backend. It ends once, by a call of `done`."""
+
+    def __init__(
+        self,
+        uid: str,
+        head: bytes,
+        body: bytes,
+        limit_ms: float,
+        done: Callable[[Attempt, Result, Response | None], None],
+    ) -> None:
+        self.uid, self.head, self.body, self.done = uid, head, body, done
+        self.started = now_ms()
+        self.deadline = self.started + limit_ms
+        self.connection: Connection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.ended = False
+
+    def end(self, result: Result, response: Response | None = None) -> None:
+        if self.ended:
+            return
+        self.ended = True
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.connection is not None:
+            self.connection.attempt = None
+        self.connection = None
+        self.done(self, result, response)
+
+
+class Backend:
+    """One uid of the list. A new generation begins when its old connections must not be used again."""
+
+    def __init__(self, target: Target) -> None:
+        self.target, self.generation = target, 0
+        self.idle: list[Connection] = []  # the most recently used last
+        self.connecting: set[Connection] = set()
+
+    def active(self) -> bool:
+        return self.target.info.state is ServerState.ACTIVE
+
+    def renew(self) -> None:
+        self.generation += 1
+        for connection in self.idle:
+            connection.close()
+        self.idle.clear()
+
+
+class Connection(Exchange):
+    def __init__(self, pool: Backends, backend: Backend) -> None:
+        super().__init__()
+        self.pool, self.backend, self.generation = pool, backend, backend.generation
+        self.attempt: Attempt | None = None
+        self.opener: asyncio.Task[None] | None = None
+        self.idle_since = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.backend.connecting.discard(self)
+        if self.attempt is not None:
+            self.carry(self.attempt)
+        else:
+            self.close()
+
+    def carry(self, attempt: Attempt) -> None:
+        self.attempt, attempt.connection = attempt, self
+        budget = max(1, int(attempt.deadline - now_ms()))
+        self.ask(b"%bx-budget-ms: %d\r\n\r\n%b" % (attempt.head, budget, attempt.body))
+
+    def close(self) -> None:
+        super().close()
+        if self.transport is None and self.opener is not None:
+            self.opener.cancel()
+
+    def never_ran(self) -> bool:
+        """The last byte of the request was surely not written."""
+        return self.transport is None or self.unsent
+
+    def on_response(self, response: Response) -> None:
+        attempt, self.attempt = self.attempt, None
+        self.pool.put_back(self)
+        if attempt is None:
+            return
+        if response.status == 200:
+            attempt.end(Result.OK, response)
+        elif response.status in (503, 504) and response.header(b"x-rejected") == b"1":
+            attempt.end(Result.FULL)
+        else:
+            attempt.end(Result.ERROR)
+
+    def on_broken(self) -> None:
+        if self in self.backend.idle:
+            self.backend.idle.remove(self)
+        if self.attempt is not None:
+            self.attempt.end(Result.CONNECT_FAILED if self.never_ran() else Result.RESET)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.pool.connections.discard(self)
+        super().connection_lost(exc)
+
+
+class Backends:
+    def __init__(self, connect_timeout_ms: float, conn_idle_ms: float, most: int) -> None:
+        self.connect_timeout_s, self.idle_ms = connect_timeout_ms / 1000, conn_idle_ms * IDLE_PART
+        self.most = most  # connections, those being opened included
+        self.connections: set[Connection] = set()
+        self.backends: dict[str, Backend] = {}
+        self.loop = asyncio.get_running_loop()
+        self.sweeper = self.loop.call_later(self.idle_ms / 1000 / SWEEPS, self._sweep)
+
+    def update(self, targets: tuple[Target, ...], whole: bool) -> None:
+        if whole:
+            listed = {target.uid for target in targets}
+            for uid in [uid for uid in self.backends if uid not in listed]:
+                self._retire(self.backends.pop(uid))
+        for target in targets:
+            backend = self.backends.get(target.uid)
+            if target.info.state is ServerState.GONE:
+                if backend is not None:
+                    self._retire(self.backends.pop(target.uid))
+            elif backend is None:
+                self.backends[target.uid] = Backend(target)
+            else:
+                old, backend.target = backend.target, target
+                moved = (old.host, old.port) != (target.host, target.port)
+                if moved or not backend.active():
+                    self._retire(backend)
+                elif old.info.started != target.info.started:
+                    backend.renew()
+
+    def _retire(self, backend: Backend) -> None:
+        # A drain counts from the first byte sent: what still waits for its connection must not go out.
+        backend.renew()
+        for connection in list(backend.connecting):
+            attempt = connection.attempt
+            self._drop(connection)
+            if attempt is not None:
+                attempt.end(Result.CONNECT_FAILED)
+
+    def active(self) -> int:
+        return sum(backend.active() for backend in self.backends.values())
+
+    def start(self, attempt: Attempt) -> None:
+        backend = self.backends.get(attempt.uid)
+        if backend is None or not backend.active():
+            attempt.end(Result.CONNECT_FAILED)
+            return
+        seconds = max(attempt.deadline - now_ms(), 0.0) / 1000
+        attempt.timer = self.loop.call_later(seconds, self._limit, attempt)
+        while backend.idle:
+            connection = backend.idle.pop()
+            if connection.transport is not None and not connection.transport.is_closing():
+                connection.carry(attempt)
+                return
+        if not self._make_room():
+            attempt.end(Result.CONNECT_FAILED)
+            return
+        connection = Connection(self, backend)
+        connection.attempt, attempt.connection = attempt, connection
+        self.connections.add(connection)
+        backend.connecting.add(connection)
+        connection.opener = self.loop.create_task(self._open(connection))
+
+    async def _open(self, connection: Connection) -> None:
+        target = connection.backend.target
+        try:
+            async with asyncio.timeout(self.connect_timeout_s):
+                await self.loop.create_connection(lambda: connection, target.host, target.port)
+        except OSError:  # refused, unreachable, out of descriptors, or too slow
+            if connection.attempt is not None:
+                connection.attempt.end(Result.CONNECT_FAILED)
+        finally:
+            connection.backend.connecting.discard(connection)
+            if connection.transport is None:
+                self.connections.discard(connection)
+
+    def cancel(self, attempt: Attempt) -> None:
+        self._give_up(attempt, Result.CANCELLED)
+
+    def _limit(self, attempt: Attempt) -> None:
+        connection = attempt.connection
+        never = connection is None or connection.never_ran()
+        self._give_up(attempt, Result.CONNECT_FAILED if never else Result.TIMEOUT)
+
+    def _give_up(self, attempt: Attempt, result: Result) -> None:
+        if attempt.connection is not None:
+            self._drop(attempt.connection)
+        attempt.end(result)
+
+    def _drop(self, connection: Connection) -> None:
+        connection.backend.connecting.discard(connection)
+        connection.attempt = None
+        connection.close()
+
+    def put_back(self, connection: Connection) -> None:
+        backend = connection.backend
+        if not connection.usable or connection.generation != backend.generation or not backend.active():
+            connection.close()
+            return
+        connection.idle_since = now_ms()
+        backend.idle.append(connection)
+
+    def _make_room(self) -> bool:
+        """At the cap the connection that has been idle for longest goes; with none idle there is no room."""
+        if len(self.connections) < self.most:
+            return True
+        oldest = min(
+            (b.idle[0] for b in self.backends.values() if b.idle), key=lambda c: c.idle_since, default=None
+        )
+        if oldest is None:
+            return False
+        oldest.backend.idle.remove(oldest)
+        self.connections.discard(oldest)
+        oldest.close()
+        return True
+
+    def _sweep(self) -> None:
+        self.sweeper = self.loop.call_later(self.idle_ms / 1000 / SWEEPS, self._sweep)
+        oldest = now_ms() - self.idle_ms
+        for backend in self.backends.values():
+            while backend.idle and backend.idle[0].idle_since < oldest:
+                backend.idle.pop(0).close()
+
+    def close(self) -> None:
+        self.sweeper.cancel()
+        for connection in list(self.connections):
+            connection.close()
--- /dev/null
+++ b/flintlatch/net/discovery.py
@@ -0,0 +1,147 @@
+"""The list of backends: reading it, and the watch that keeps it fresh."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from ipaddress import ip_address
+from typing import NamedTuple
+
+import orjson
+
+from flintlatch.api import ServerInfo, ServerState
+from flintlatch.net.http1 import Exchange, Response, split_address
+from flintlatch.settings import Malformed, Wire, choice, listing, mapping, number, text, whole
+
+STATES = {"active": ServerState.ACTIVE, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
+FIRST_WAIT_MS = 1  # a new watch asks for what is known now, so that success shows at once
+WAIT_MS = 4000  # how long a watch waits for news: short, since silence is noticed only after it
+GRACE_MS = 1500  # time beyond that wait after which the service counts as silent
+MAX_LIST = 1024 * 1024
+
+
+class Target(NamedTuple):
+    uid: str
+    host: str
+    port: int
+    info: ServerInfo
+
+
+class Listing(NamedTuple):
+    rev: int
+    whole: bool
+    targets: tuple[Target, ...]
+
+
+def place(names: dict[str, int], value: object, member: str) -> int:
+    """The number of a zone or kind; one that the settings do not name gets the next."""
+    if value is None:
+        return 0
+    return value if type(value) is int else names.setdefault(text(value, member), len(names))
+
+
+def read_target(raw: object, wire: Wire) -> Target:
+    entry = mapping(raw, "targets")
+    uid, started = text(entry["uid"], "uid"), entry.get("boot_ms")
+    host, port = split_address(text(entry["endpoint"], "endpoint"))
+    ip_address(host)  # a name would have to be looked up, and there is no DNS
+    info = ServerInfo(
+        uid,
+        choice(STATES, entry["state"], "state"),
+        place(wire.zones, entry.get("az"), "az"),
+        place(wire.kinds, entry.get("model"), "model"),
+        whole(entry.get("pod_group") or 0, "pod_group"),
+        number(started, "boot_ms") if started else None,
+        number(entry.get("capacity_hint") or 1, "capacity_hint"),
+    )
+    return Target(uid, host, port, info)
+
+
+def read_listing(raw: object, wire: Wire) -> Listing:
+    try:
+        data = mapping(raw, "list")
+        targets = tuple(read_target(entry, wire) for entry in listing(data["targets"], "targets"))
+        return Listing(whole(data["rev"], "rev"), data["all"] is True, targets)
+    except KeyError as error:
+        raise Malformed(f"list: {error.args[0]} is missing") from None
+    except ValueError as error:
+        raise Malformed(f"list: {error}") from None
+
+
+class Call(Exchange):
+    """A kept connection to the list service; each answer is awaited."""
+
+    def __init__(self) -> None:
+        super().__init__(MAX_LIST)
+        self.answer: asyncio.Future[Response] | None = None
+
+    async def get(self, request: bytes) -> Response:
+        self.answer = asyncio.get_running_loop().create_future()
+        self.ask(request)
+        return await self.answer
+
+    def on_response(self, response: Response) -> None:
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_result(response)
+
+    def on_broken(self) -> None:
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_exception(ConnectionError("connection broken"))
+
+
+class Discovery:
+    """Watches back to back from `watch` on, until a call fails."""
+
+    def __init__(
+        self,
+        address: str,
+        wire: Wire,
+        rev: int,
+        on_list: Callable[[Listing], None],
+        on_failure: Callable[[str], None],
+    ) -> None:
+        self.address, self.wire, self.rev = address, wire, rev
+        self.on_list, self.on_failure = on_list, on_failure
+        self.call: Call | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    def watch(self) -> None:
+        if self.task is None or self.task.done():
+            self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def close(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+        self._hang_up()
+
+    def _hang_up(self) -> None:
+        if self.call is not None:
+            self.call.close()
+        self.call = None
+
+    async def _run(self) -> None:
+        wait = FIRST_WAIT_MS
+        while True:
+            try:
+                async with asyncio.timeout((wait + GRACE_MS) / 1000):
+                    news = await self._fetch(wait)
+            except (OSError, Malformed) as error:
+                self._hang_up()
+                self.on_failure(str(error) or type(error).__name__)
+                return
+            self.rev, wait = news.rev, WAIT_MS
+            self.on_list(news)
+
+    async def _fetch(self, wait: int) -> Listing:
+        if self.call is None or not self.call.usable:
+            self._hang_up()
+            host, port = split_address(self.address)
+            _, self.call = await asyncio.get_running_loop().create_connection(Call, host, port)
+        path = f"/registry/instances?since={self.rev}&timeout_ms={wait}"
+        response = await self.call.get(f"GET {path} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode())
+        if response.status != 200:
+            raise Malformed(f"status {response.status}")
+        try:
+            return read_listing(orjson.loads(response.body), self.wire)
+        except orjson.JSONDecodeError as error:
+            raise Malformed(f"not JSON: {error}") from None
--- /dev/null
+++ b/flintlatch/net/engine.py
@@ -0,0 +1,246 @@
+"""Between the decision module and the sockets: events in, actions out, requests and attempts by id."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import traceback
+from collections.abc import Callable
+from typing import NamedTuple
+
+from flintlatch.api import (
+    Action,
+    Arrival,
+    Cancel,
+    ClientGone,
+    Event,
+    Fail,
+    ListKind,
+    Log,
+    Outcome,
+    Probe,
+    ProbeResult,
+    Refuse,
+    Result,
+    Send,
+    ServerList,
+    SetTimer,
+    Settings,
+    TimerFired,
+    Watch,
+)
+from flintlatch.choice import Balancer
+from flintlatch.net.backends import Attempt, Backends
+from flintlatch.net.clock import now_ms
+from flintlatch.net.discovery import Discovery, Listing
+from flintlatch.net.http1 import Response, end_to_end
+from flintlatch.settings import Wire
+
+PROBE_HEAD = b"GET /stats HTTP/1.1\r\nhost: backend.local\r\n"
+
+
+def log(line: str) -> None:
+    print(f"flintlatch: {line}", file=sys.stderr, flush=True)
+
+
+class Answer(NamedTuple):
+    status: int
+    headers: bytes = b""  # whole lines
+    body: bytes = b""
+
+
+class Taken(NamedTuple):
+    """A request that the proxy has read whole."""
+
+    id: str
+    cls: int
+    tenant: int
+    key: int | None
+    budget_ms: float
+    repeat: bool
+    head: bytes  # request line and headers for the backend, without the empty line at the end
+    body: bytes
+    answer: Callable[[Answer], None]
+
+
+class Held:
+    """A request until it is answered and its last attempt has ended."""
+
+    def __init__(self, taken: Taken) -> None:
+        self.taken = taken
+        self.attempts: list[Attempt] = []
+        self.over = False
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Engine:
+    def __init__(self, settings: Settings, wire: Wire, seed: int, most_connections: int) -> None:
+        self.settings, self.seed = settings, seed
+        self.balancer = Balancer(settings, seed)
+        self.backends = Backends(wire.connect_timeout_ms, wire.conn_idle_ms, most_connections)
+        self.probe_limit_ms = wire.connect_timeout_ms
+        self.discovery: Discovery | None = None
+        self.requests: dict[str, Held] = {}
+        self.news: list[ServerList] = []
+        self.events: list[Event] = []
+        self.turn: asyncio.Handle | None = None
+        self.life = 0  # of the module; a new one starts after it broke
+        self.loop = asyncio.get_running_loop()
+
+    # What happens outside
+
+    def on_list(self, listing: Listing, kind: ListKind | None = None) -> None:
+        # The pools hear of a drain here and now, before anything else of this turn can be written.
+        self.backends.update(listing.targets, listing.whole)
+        kind = kind or (ListKind.FULL if listing.whole else ListKind.CHANGES)
+        self.news.append(ServerList(kind, tuple(target.info for target in listing.targets)))
+        self._wake()
+
+    def on_list_failure(self, reason: str) -> None:
+        log(f"list: {reason}")
+        self.news.append(ServerList(ListKind.FAILED))
+        self._wake()
+
+    def take(self, taken: Taken) -> bool:
+        """False if a request of this id is still open."""
+        if taken.id in self.requests:
+            return False
+        # No client waits longer than its class allows: a larger budget would skew what the module learns.
+        budget = min(taken.budget_ms, self.settings.classes[taken.cls].deadline_ms)
+        held = self.requests[taken.id] = Held(taken)
+        held.timer = self.loop.call_later(budget / 1000, self._deadline, held)
+        key, repeat = taken.key, taken.repeat
+        self._raise(Arrival(taken.id, taken.cls, taken.tenant, key, now_ms() + budget, repeat))
+        return True
+
+    def client_gone(self, request_id: str) -> None:
+        held = self.requests.get(request_id)
+        if held is None or held.over:
+            return
+        self._close(held)
+        self._raise(ClientGone(request_id))
+
+    def _deadline(self, held: Held) -> None:
+        """The module let the client's time run out; the client gets its one answer all the same."""
+        if not held.over:
+            self._answer(held, Answer(504))
+            self._raise(ClientGone(held.taken.id))
+
+    def _on_attempt(
+        self, held: Held, number: int, attempt: Attempt, result: Result, got: Response | None
+    ) -> None:
+        if result is Result.OK and got is not None and not held.over:
+            self._answer(held, Answer(200, end_to_end(got.headers), got.body))
+        delay = now_ms() - attempt.started
+        self._raise(Outcome(held.taken.id, number, result, delay, held.over))
+        self._forget(held)
+
+    def _on_probe(self, attempt: Attempt, result: Result, _: Response | None) -> None:
+        self._raise(ProbeResult(attempt.uid, result, now_ms() - attempt.started))
+
+    def _on_timer(self, token: int, life: int) -> None:
+        if life == self.life:
+            self._raise(TimerFired(token))
+
+    # One turn of the loop, one step
+
+    def _raise(self, event: Event) -> None:
+        self.events.append(event)
+        self._wake()
+
+    def _wake(self) -> None:
+        if self.turn is None:
+            self.turn = self.loop.call_soon(self._step)
+
+    def _step(self) -> None:
+        self.turn = None
+        batch: list[Event] = [*self.news, *self.events]
+        self.news, self.events = [], []
+        try:
+            actions = self.balancer.step(now_ms(), batch)
+        except Exception:
+            self._module_broke()
+            return
+        for action in actions:
+            self._carry_out(action)
+
+    def _module_broke(self) -> None:
+        """What a module that raised still knows can't be trusted: its requests fail, a new one takes over."""
+        log(f"the decision module broke\n{traceback.format_exc()}")
+        for held in list(self.requests.values()):
+            if not held.over:
+                self._answer(held, Answer(500))
+            for attempt in held.attempts:
+                self.backends.cancel(attempt)
+            self._forget(held)
+        self.life += 1
+        self.balancer, self.events = Balancer(self.settings, self.seed + self.life), []
+        entries = tuple(backend.target.info for backend in self.backends.backends.values())
+        self.news.append(ServerList(ListKind.SAVED, entries))
+        self._wake()
+
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, Send):
+            self._send(action)
+        elif isinstance(action, (Refuse, Fail)):
+            held = self.requests.get(action.request)
+            if held is not None and not held.over:
+                self._answer(held, refusal(action) if isinstance(action, Refuse) else Answer(504))
+        elif isinstance(action, Cancel):
+            held = self.requests.get(action.request)
+            if held is not None and action.attempt < len(held.attempts):
+                self.backends.cancel(held.attempts[action.attempt])
+        elif isinstance(action, SetTimer):
+            self.loop.call_later(action.delay_ms / 1000, self._on_timer, action.token, self.life)
+        elif isinstance(action, Watch):
+            if self.discovery is not None:
+                self.discovery.watch()
+        elif isinstance(action, Probe):
+            self.backends.start(Attempt(action.server, PROBE_HEAD, b"", self.probe_limit_ms, self._on_probe))
+        elif isinstance(action, Log):
+            log(action.text)
+
+    def _send(self, action: Send) -> None:
+        held = self.requests.get(action.request)
+        if held is None:
+            return
+        number, taken = len(held.attempts), held.taken
+        attempt = Attempt(
+            action.server,
+            taken.head,
+            taken.body,
+            action.limit_ms,
+            lambda ended, result, response: self._on_attempt(held, number, ended, result, response),
+        )
+        held.attempts.append(attempt)
+        if held.over or number >= self.settings.most_attempts:
+            attempt.end(Result.NOT_SENT)
+        else:
+            self.backends.start(attempt)
+
+    def close(self) -> None:
+        self.backends.close()
+        if self.discovery is not None:
+            self.discovery.close()
+
+    # The end of a request
+
+    def _answer(self, held: Held, answer: Answer) -> None:
+        self._close(held)
+        held.taken.answer(answer)
+
+    def _close(self, held: Held) -> None:
+        held.over = True
+        if held.timer is not None:
+            held.timer.cancel()
+        self._forget(held)
+
+    def _forget(self, held: Held) -> None:
+        if held.over and all(attempt.ended for attempt in held.attempts):
+            self.requests.pop(held.taken.id, None)
+
+
+def refusal(action: Refuse) -> Answer:
+    if action.retry_after_ms <= 0:
+        return Answer(503)
+    return Answer(503, b"retry-after: %.3f\r\n" % (action.retry_after_ms / 1000))
--- /dev/null
+++ b/flintlatch/settings.py
@@ -0,0 +1,129 @@
+"""The deployment's settings as JSON, read for both programs: the simulator's host and the real proxy."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import inf
+from typing import Any
+
+from flintlatch.api import Effect, RequestClass, Scope, Settings
+
+EFFECTS = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
+Message = dict[str, Any]
+
+
+class Malformed(Exception):
+    """Input that breaks the wire's rules; the text is for a person."""
+
+
+def choice(table: dict[str, Any], value: object, member: str) -> Any:
+    if not isinstance(value, str) or value not in table:
+        raise Malformed(f"unknown {member} {value!r}")
+    return table[value]
+
+
+def number(value: object, member: str) -> float:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise Malformed(f"{member} is not a number: {value!r}")
+    return float(value)
+
+
+def whole(value: object, member: str) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise Malformed(f"{member} is not a whole number: {value!r}")
+    return value
+
+
+def text(value: object, member: str) -> str:
+    if not isinstance(value, str):
+        raise Malformed(f"{member} is not a string: {value!r}")
+    return value
+
+
+def mapping(value: object, member: str) -> Message:
+    if not isinstance(value, dict):
+        raise Malformed(f"{member} is not an object")
+    return value
+
+
+def listing(value: object, member: str) -> list[Any]:
+    if not isinstance(value, list):
+        raise Malformed(f"{member} is not an array")
+    return value
+
+
+def read_class(raw: Message) -> RequestClass:
+    return RequestClass(
+        aim_ms=number(raw["AimMs"], "AimMs"),
+        deadline_ms=number(raw["HardLimitMs"], "HardLimitMs"),
+        effect=choice(EFFECTS, raw["Effect"], "Effect"),
+        scope=choice({s.value: s for s in Scope}, raw.get("KeyScope") or "all", "KeyScope"),
+        window_ms=number(raw.get("KeyTtlMs") or 0, "KeyTtlMs"),
+        worth=number(raw.get("Points", 1), "Points"),
+        late_worth=number(raw.get("LateWorth") or 0, "LateWorth"),
+        stream=bool(raw.get("Stream")),
+    )
+
+
+def read_settings(info: Message) -> Settings:
+    limits = mapping(info.get("Limits") or {}, "Limits")
+    rules = mapping(info.get("Obligations") or {}, "Obligations")
+    domain = mapping(info.get("Domain") or {}, "Domain")
+    tenants = [mapping(t, "Projects") for t in listing(info.get("Projects") or [], "Projects")]
+    return Settings(
+        classes=tuple(read_class(mapping(c, "Lanes")) for c in listing(info["Lanes"], "Lanes")),
+        proxies=whole(info.get("Balancers", 1), "Balancers"),
+        me=whole(info.get("Me", 0), "Me"),
+        zone=whole(info.get("Az") or 0, "Az"),
+        zones=max(1, len(listing(info.get("Dcs") or [], "Dcs"))),
+        quotas=tuple(number(t["QuotaPerS"], "QuotaPerS") for t in tenants),
+        over_share_worth=number(info.get("OverShareWorth", 1), "OverShareWorth"),
+        tick_ms=number(info.get("TickMs", 1), "TickMs"),
+        ask_for_list=info.get("Discovery") == "ask",
+        must_ask_ms=number(rules.get("MustAskInMs", 10000), "MustAskInMs"),
+        may_cancel=bool(limits.get("MayCancel")),
+        may_duplicate=bool(limits.get("MayDuplicate")),
+        may_probe=bool(limits.get("Probes")),
+        retry_after=bool(limits.get("RetryAfter")),
+        max_retry_after_ms=number(limits.get("MaxRetryAfterMs") or 0, "MaxRetryAfterMs"),
+        most_attempts=whole(limits.get("MostTries", 1), "MostTries"),
+        warm_keys=bool(domain.get("WarmKeys")),
+        start_capacity=number(rules.get("StartCapacity", 1), "StartCapacity"),
+        cold_ms=number(rules.get("ColdMs") or 0, "ColdMs"),
+        fall_multiple=number(rules.get("FallMultiple", 2), "FallMultiple"),
+        fall_ms=number(rules.get("OverloadForMs", 1000), "OverloadForMs"),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Wire:
+    """What only a proxy on sockets needs: the names that clients and discovery use, and connection limits."""
+
+    classes: dict[str, int]
+    tenants: dict[str, int]
+    zones: dict[str, int]
+    kinds: dict[str, int]
+    connect_timeout_ms: float
+    conn_idle_ms: float
+
+
+def numbered(names: list[Any], member: str) -> dict[str, int]:
+    return {text(name, member): place for place, name in enumerate(names)}
+
+
+def read_wire(info: Message) -> Wire:
+    limits = mapping(info.get("Limits") or {}, "Limits")
+    lanes = [mapping(c, "Lanes") for c in listing(info["Lanes"], "Lanes")]
+    tenants = [mapping(t, "Projects") for t in listing(info.get("Projects") or [], "Projects")]
+    wire = Wire(
+        classes=numbered([c["Name"] for c in lanes], "Name"),
+        tenants=numbered([t["Name"] for t in tenants], "Name"),
+        zones=numbered(listing(info.get("Dcs") or [], "Dcs"), "Dcs"),
+        kinds=numbered(listing(info.get("Kinds") or [], "Kinds"), "Kinds"),
+        connect_timeout_ms=number(limits.get("ConnectTimeoutMs", 250), "ConnectTimeoutMs"),
+        conn_idle_ms=number(limits.get("ConnIdleMs", 15000), "ConnIdleMs"),
+    )
+    for name in ("connect_timeout_ms", "conn_idle_ms"):
+        if not 0 < getattr(wire, name) < inf:
+            raise Malformed(f"{name} must be above 0 and finite")
+    return wire
