Test the proxy over loopback sockets, and mend what that found

Cause, each found by a test that failed before its mend: - frontend.py, _accept: a client just opened was counted twice for a turn, and room was made before anybody waited for it, so at the cap a connection that had sent nothing yet was closed. Now descriptors are counted from accept to close, and an idle client goes only for one that has been accepted. - frontend.py, on_message_begin: the size of a head was set to nothing after its first bytes were counted, so a head without end was read until the half-read limit. Now it is counted from its first byte. - engine.py, _close: an id was forgotten before the module had been told; sent again in the step that told it, the attempt got no outcome and the module counted it as out for good. Now ids go after that step. - engine.py, _step: one action that raised took the rest of its batch with it, the next beat included. - frontend.py, read: repeated control headers and a missing Host are answered 400. Ruled out by tests that passed at once: outcomes by the protocol's table, reuse after a drain, a move or a restart, unasked and second answers, attempts waiting on a connect through a drain, silent machines, half answers, unreadable lists, SIGTERM, bad configurations.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import os
+import resource
 import signal
 import sys
 from typing import Any
@@ -58,23 +59,32 @@
             raise Malformed(f"{path}: {error}") from None
 
 
+def start(config: Config) -> tuple[Engine, Frontend]:
+    """Wire the parts; from here on clients are served."""
+    sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+    sockets -= min(SPARE_SOCKETS, sockets // 4)
+    to_backends = int(sockets * BACKEND_PART)
+    engine = Engine(config.settings, config.wire, config.seed, to_backends)
+    engine.discovery = Discovery(
+        config.discovery, config.wire, config.known.rev, engine.on_list, engine.on_list_failure
+    )
+    engine.on_list(config.known, ListKind.SAVED)
+    frontend = Frontend(engine, config.settings, config.wire, sockets - to_backends)
+    frontend.listen(config.listen)
+    return engine, frontend
+
+
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
+    # A bug in the code of one connection ends that connection, not the program.
     loop.set_exception_handler(
         lambda _, context: log(f"bug: {context.get('message')}: {context.get('exception')!r}")
     )
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    sockets = max(config.sockets - SPARE_SOCKETS, SPARE_SOCKETS)
-    to_backends = int(sockets * BACKEND_PART)
-    engine = Engine(config.settings, config.wire, config.seed, to_backends)
-    engine.discovery = Discovery(
-        config.discovery, config.wire, config.known.rev, engine.on_list, engine.on_list_failure
-    )
-    engine.on_list(config.known, ListKind.SAVED)
-    frontend = Frontend(engine, config.settings, config.wire, sockets - to_backends)
-    log(f"{config.name} listens on {frontend.listen(config.listen)}")
+    engine, frontend = start(config)
+    log(f"{config.name} listens on {frontend.address}")
     # What start-up made stays for good: the collector need not walk it in the middle of a request.
     gc.collect()
     gc.freeze()
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -36,6 +36,7 @@
 from flintlatch.net.http1 import Response, end_to_end
 from flintlatch.settings import Wire
 
+MODULE_REST_S = 0.1  # s from the end of a broken module to the first step of the next
 PROBE_HEAD = b"GET /stats HTTP/1.1\r\nhost: backend.local\r\n"
 
 
@@ -83,6 +84,7 @@
         self.requests: dict[str, Held] = {}
         self.news: list[ServerList] = []
         self.events: list[Event] = []
+        self.ended: list[Held] = []  # to be forgotten once the module has been told of their end
         self.turn: asyncio.Handle | None = None
         self.life = 0  # of the module; a new one starts after it broke
         self.loop = asyncio.get_running_loop()
@@ -156,13 +158,22 @@
         self.turn = None
         batch: list[Event] = [*self.news, *self.events]
         self.news, self.events = [], []
+        ended, self.ended = self.ended, []
         try:
             actions = self.balancer.step(now_ms(), batch)
         except Exception:
             self._module_broke()
             return
         for action in actions:
-            self._carry_out(action)
+            try:
+                self._carry_out(action)
+            except Exception:  # the other actions of the batch, the next beat among them, must not go with it
+                log(f"bug: {action} was not carried out\n{traceback.format_exc()}")
+        for held in ended:
+            # Not earlier: the module may have sent it again in the step that told it of the end, and each
+            # sending is owed its outcome.
+            if all(attempt.ended for attempt in held.attempts):
+                self.requests.pop(held.taken.id, None)
 
     def _module_broke(self) -> None:
         """What a module that raised still knows can't be trusted: its requests fail, a new one takes over."""
@@ -172,12 +183,13 @@
                 self._answer(held, Answer(500))
             for attempt in held.attempts:
                 self.backends.cancel(attempt)
-            self._forget(held)
         self.life += 1
-        self.balancer, self.events = Balancer(self.settings, self.seed + self.life), []
+        self.balancer, self.events, self.ended = Balancer(self.settings, self.seed + self.life), [], []
+        self.requests.clear()
         entries = tuple(backend.target.info for backend in self.backends.backends.values())
-        self.news.append(ServerList(ListKind.SAVED, entries))
-        self._wake()
+        self.news = [ServerList(ListKind.SAVED, entries)]
+        # One that breaks at once, again and again, must leave time for answering.
+        self.turn = self.loop.call_later(MODULE_REST_S, self._step)
 
     def _carry_out(self, action: Action) -> None:
         if isinstance(action, Send):
@@ -237,7 +249,7 @@
 
     def _forget(self, held: Held) -> None:
         if held.over and all(attempt.ended for attempt in held.attempts):
-            self.requests.pop(held.taken.id, None)
+            self.ended.append(held)
 
 
 def refusal(action: Refuse) -> Answer:
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -18,11 +18,13 @@
 from flintlatch.settings import Wire
 
 BACKLOG = 512
+ACCEPT_AT_ONCE = 16  # connections a turn: those closed to make room free their descriptors only after it
 PIPELINED = 8  # requests read ahead on one connection before it is not read any further
 HALF_READ_S = 10.0  # s that a request may take to come in whole
 LINGER_S = 1.0  # s that a closed connection may go on sending before it is cut off
 RETRY_ACCEPT_S = 0.05  # s until the next try when the system has no descriptor to give
 UNREAD_ANSWERS = 4 * MAX_BODY  # bytes of answers that a client may leave unread
+SINGLE = frozenset((b"host", b"x-call-id", b"x-budget-ms", b"x-route-hash", b"x-caller", b"idempotency-key"))
 READY_PATH = b"/health/ready"
 
 
@@ -101,7 +103,6 @@
     # httptools calls these
 
     def on_message_begin(self) -> None:
-        self._reset()
         self.reading_since = now_ms()
 
     def on_url(self, url: bytes) -> None:
@@ -209,23 +210,24 @@
         self.engine, self.settings, self.wire, self.most = engine, settings, wire, most
         self.loop = asyncio.get_running_loop()
         self.clients: dict[Client, None] = {}  # in the order of their coming
+        self.held = 0  # descriptors of clients, those just accepted and those just closing included
         self.opening: set[asyncio.Task[object]] = set()
         self.stopping = self.accepting = False
         self.empty = asyncio.Event()
         self.sock: socket.socket | None = None
+        self.address = ""  # where it listens
         self.sweeper: asyncio.TimerHandle | None = None
 
-    def listen(self, address: str) -> str:
-        """Returns the address it listens on."""
+    def listen(self, address: str) -> None:
         host, port = split_address(address)
         self.sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind((host, port))
         self.sock.listen(BACKLOG)
         self.sock.setblocking(False)
+        self.address = "{}:{}".format(*self.sock.getsockname()[:2])
         self._accept_on()
         self._sweep()
-        return "{}:{}".format(*self.sock.getsockname()[:2])
 
     def ready(self) -> bool:
         return not self.stopping and self.engine.backends.active() > 0
@@ -244,8 +246,10 @@
 
     def _accept(self) -> None:
         assert self.sock is not None
-        while True:
-            if len(self.clients) + len(self.opening) >= self.most and not self._drop_idle():
+        for _ in range(ACCEPT_AT_ONCE):
+            full = self.held >= self.most
+            idle = self._longest_idle() if full else None
+            if full and idle is None:
                 self._accept_off()  # until a client goes; the kernel's queue holds those that come
                 return
             try:
@@ -257,6 +261,10 @@
                 self._accept_off()
                 self.loop.call_later(RETRY_ACCEPT_S, self._accept_on)
                 return
+            if idle is not None:  # only now that somebody needs its place
+                del self.clients[idle]
+                idle.transport.close()
+            self.held += 1
             task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: Client(self), sock))
             self.opening.add(cast("asyncio.Task[object]", task))
             task.add_done_callback(self._opened)
@@ -265,20 +273,19 @@
         self.opening.discard(task)
         if not task.cancelled() and task.exception() is not None:
             log(f"accept: {task.exception()}")
+            self._freed()
 
-    def _drop_idle(self) -> bool:
-        """Close the client that has been idle for longest; its descriptor is free in the next turn."""
-        client = min((c for c in self.clients if c.idle()), key=lambda c: c.used, default=None)
-        if client is None:
-            return False
-        del self.clients[client]
-        client.transport.close()
-        return True
+    def _longest_idle(self) -> Client | None:
+        return min((c for c in self.clients if c.idle()), key=lambda c: c.used, default=None)
 
     def lost(self, client: Client) -> None:
         self.clients.pop(client, None)
+        self._freed()
+
+    def _freed(self) -> None:
+        self.held -= 1
         self._accept_on()
-        if self.stopping and not self.clients and not self.opening:
+        if self.stopping and not self.held:
             self.empty.set()
 
     def _sweep(self) -> None:
@@ -302,17 +309,21 @@
             self.sock = None
         for client in [c for c in self.clients if c.idle()]:
             client.transport.close()
-        if self.clients or self.opening:
+        if self.held:
             try:
                 async with asyncio.timeout(within_s):
                     await self.empty.wait()
             except TimeoutError:
-                log(f"stop: {len(self.clients)} client connections were still open")
+                log(f"stop: {self.held} client connections were still open")
 
     # Reading a request
 
     def read(self, message: Message, path: bytes, answer: Callable[[Answer], None]) -> Taken:
         headers = dict(message.headers)
+        # Told twice, the backend could read the other value; HTTP/1.1 asks for one host.
+        names = [name for name, _ in message.headers if name in SINGLE]
+        if len(names) != len(set(names)) or b"host" not in headers:
+            raise Bad(400)
         cls = self.wire.classes.get(path.split(b"/")[1].decode("latin-1") if path.startswith(b"/") else "")
         if cls is None:
             raise Bad(404)
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,334 @@
+"""Attempts and pools: how each attempt ends, and which connections may be used again."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from flintlatch.api import Result, ServerInfo, ServerState
+from flintlatch.net.backends import Attempt, Backends
+from flintlatch.net.discovery import Target
+from flintlatch.net.http1 import Response
+from tests.loopback import Peer, run
+
+HEAD = b"POST /answer HTTP/1.1\r\nhost: b\r\n"
+
+
+class Tries:
+    """Backends with one uid `s`, and the outcomes of what was started there."""
+
+    def __init__(self, peer: Peer, connect_ms: float, idle_ms: float, most: int) -> None:
+        self.pool = Backends(connect_ms, idle_ms, most)
+        self.outcomes: asyncio.Queue[tuple[Result, Response | None]] = asyncio.Queue()
+        self.list(target("s", peer.address))
+
+    def list(self, *targets: Target) -> None:
+        self.pool.update(targets, True)
+
+    def start(self, uid: str = "s", limit_ms: float = 30000.0, body: bytes = b"") -> Attempt:
+        head = HEAD + b"content-length: %d\r\n" % len(body)
+        attempt = Attempt(uid, head, body, limit_ms, lambda _, *outcome: self.outcomes.put_nowait(outcome))
+        self.pool.start(attempt)
+        return attempt
+
+    async def result(self) -> Result:
+        return (await self.outcomes.get())[0]
+
+    async def served(self, peer: Peer, uid: str = "s") -> int:
+        """One attempt served; the number of the connection that carried it."""
+        self.start(uid)
+        call = await peer.calls.get()
+        call.reply()
+        assert await self.result() is Result.OK
+        return call.connection
+
+
+def target(
+    uid: str, address: str, state: ServerState = ServerState.ACTIVE, started: float | None = None
+) -> Target:
+    host, port = address.split(":")
+    return Target(uid, host, int(port), ServerInfo(uid, state, started=started))
+
+
+@asynccontextmanager
+async def tries(
+    connect_ms: float = 20000.0, idle_ms: float = 60000.0, most: int = 100
+) -> AsyncIterator[tuple[Tries, Peer]]:
+    peer = await Peer().open()
+    attempts = Tries(peer, connect_ms, idle_ms, most)
+    try:
+        yield attempts, peer
+    finally:
+        attempts.pool.close()
+        peer.close()
+        assert attempts.outcomes.empty()  # each attempt ended once
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "result"),
+    [
+        (200, {}, Result.OK),
+        (500, {}, Result.ERROR),
+        (503, {}, Result.ERROR),
+        (503, {"x-rejected": "1"}, Result.FULL),
+        (504, {"x-rejected": "1"}, Result.FULL),
+        (500, {"x-rejected": "1"}, Result.ERROR),
+        (404, {}, Result.ERROR),
+    ],
+)
+def test_answers_are_outcomes_and_their_connection_is_used_again(
+    status: int, headers: dict[str, str], result: Result
+) -> None:
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            attempts.start()
+            (await peer.calls.get()).reply(status=status, headers=headers)
+            assert await attempts.result() is result
+            assert await attempts.served(peer) == 1
+
+    run(test())
+
+
+def test_a_refused_connection_never_ran() -> None:
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            peer.close()
+            await peer.server.wait_closed()
+            attempts.start()
+            assert await attempts.result() is Result.CONNECT_FAILED
+
+    run(test())
+
+
+@pytest.mark.parametrize(("connect_ms", "limit_ms"), [(50.0, 30000.0), (30000.0, 50.0)])
+def test_a_connection_that_never_comes_up_never_ran(connect_ms: float, limit_ms: float) -> None:
+    async def test() -> None:
+        async with tries(connect_ms=connect_ms) as (attempts, _):
+            with socket.socket() as silent, socket.socket() as one, socket.socket() as two:
+                # A full queue of connections that nobody accepts: the next one gets no answer at all.
+                silent.bind(("127.0.0.1", 0))
+                silent.listen(0)
+                for other in (one, two):
+                    other.setblocking(False)
+                    other.connect_ex(silent.getsockname())
+                attempts.list(target("s", "{}:{}".format(*silent.getsockname())))
+                attempts.start(limit_ms=limit_ms)
+                assert await attempts.result() is Result.CONNECT_FAILED
+            assert not attempts.pool.connections
+
+    run(test())
+
+
+def test_a_break_before_the_last_byte_never_ran() -> None:
+    async def test() -> None:
+        async with tries() as (attempts, _):
+            with socket.socket() as deaf:
+                deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                deaf.bind(("127.0.0.1", 0))
+                deaf.listen(1)
+                deaf.setblocking(False)
+                attempts.list(target("s", "{}:{}".format(*deaf.getsockname())))
+                # Far more than the kernel's buffers hold, and the peer reads nothing.
+                attempts.start(body=b"x" * 32_000_000)
+                accepted, _ = await asyncio.get_running_loop().sock_accept(deaf)
+                await asyncio.get_running_loop().sock_recv(accepted, 10)
+                accepted.close()
+                assert await attempts.result() is Result.CONNECT_FAILED
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "sent", [b"", b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf", b"nonsense\r\n\r\n"]
+)
+def test_a_break_after_the_last_byte_may_have_run(sent: bytes) -> None:
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            attempts.start()
+            call = await peer.calls.get()
+            call.writer.write(sent)
+            call.writer.close()
+            assert await attempts.result() is Result.RESET
+
+    run(test())
+
+
+def test_a_body_that_ends_with_its_connection_is_whole() -> None:
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            attempts.start()
+            call = await peer.calls.get()
+            call.writer.write(
+                b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nconnection: close\r\n\r\nto the end"
+            )
+            call.writer.close()
+            result, response = await attempts.outcomes.get()
+            assert result is Result.OK and response is not None and response.body == b"to the end"
+
+    run(test())
+
+
+def test_a_silent_backend_times_out_and_its_connection_is_closed() -> None:
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            attempts.start(limit_ms=100.0)
+            call = await peer.calls.get()
+            assert await attempts.result() is Result.TIMEOUT
+            await call.closed.wait()
+
+    run(test())
+
+
+def test_cancel_closes_the_connection() -> None:
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            attempt = attempts.start()
+            call = await peer.calls.get()
+            attempts.pool.cancel(attempt)
+            attempts.pool.cancel(attempt)
+            assert await attempts.result() is Result.CANCELLED
+            await call.closed.wait()
+
+    run(test())
+
+
+def test_the_most_recent_connection_is_used_first() -> None:
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            attempts.start()
+            attempts.start()
+            first, second = await peer.calls.get(), await peer.calls.get()
+            second.reply()
+            await attempts.result()
+            first.reply()
+            await attempts.result()
+            assert await attempts.served(peer) == first.connection
+            assert await attempts.served(peer) == first.connection
+
+    run(test())
+
+
+def test_idle_connections_close_well_before_the_backend_would() -> None:
+    async def test() -> None:
+        async with tries(idle_ms=1000.0) as (attempts, peer):
+            attempts.start()
+            call = await peer.calls.get()
+            call.reply()
+            assert await attempts.result() is Result.OK
+            await call.closed.wait()
+            assert not attempts.pool.backends["s"].idle
+
+    run(test())
+
+
+@pytest.mark.parametrize("unasked", [b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate", b"x"])
+def test_unasked_bytes_end_an_idle_connection(unasked: bytes) -> None:
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            attempts.start()
+            call = await peer.calls.get()
+            call.reply()
+            assert await attempts.result() is Result.OK
+            call.writer.write(unasked)
+            while attempts.pool.connections:
+                await asyncio.sleep(0.001)
+            assert await attempts.served(peer) == 2
+
+    run(test())
+
+
+def test_a_second_answer_to_one_request_is_never_given_to_the_next() -> None:
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            attempts.start()
+            call = await peer.calls.get()
+            twice = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n"
+            call.writer.write(twice + b"a" + twice + b"b")
+            _, response = await attempts.outcomes.get()
+            assert response is not None and response.body == b"a"
+            assert await attempts.served(peer) == 2
+
+    run(test())
+
+
+def test_a_connection_that_the_backend_closes_is_dropped_at_once() -> None:
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            await attempts.served(peer)
+            peer.writers[0].close()
+            while attempts.pool.connections:
+                await asyncio.sleep(0.001)
+            assert await attempts.served(peer) == 2
+
+    run(test())
+
+
+@pytest.mark.parametrize("change", ["drains", "leaves", "is gone", "restarts", "moves"])
+def test_idle_connections_go_with_the_process_behind_them(change: str) -> None:
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            other = await Peer().open()
+            news = {
+                "drains": [target("s", peer.address, ServerState.DRAINING)],
+                "leaves": [target("s", peer.address, ServerState.GONE)],
+                "is gone": [],
+                "restarts": [target("s", peer.address, started=5.0)],
+                "moves": [target("s", other.address)],
+            }
+            attempts.start()
+            attempts.start()
+            busy, idle = await peer.calls.get(), await peer.calls.get()
+            idle.reply()
+            assert await attempts.result() is Result.OK
+            attempts.list(*news[change])
+            await idle.closed.wait()
+            busy.reply()  # what runs may finish, but its connection is not kept
+            assert await attempts.result() is Result.OK
+            await busy.closed.wait()
+            if change == "restarts":
+                assert await attempts.served(peer) == 3
+            elif change == "moves":
+                assert await attempts.served(other) == 1
+            else:
+                attempts.start()
+                assert await attempts.result() is Result.CONNECT_FAILED
+            other.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
+def test_a_drain_ends_attempts_that_wait_for_their_connection(state: ServerState) -> None:
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            attempts.start()
+            attempts.list(target("s", peer.address, state))
+            assert await attempts.result() is Result.CONNECT_FAILED
+            assert peer.calls.empty()
+
+    run(test())
+
+
+def test_at_the_cap_an_idle_connection_elsewhere_makes_room() -> None:
+    async def test() -> None:
+        async with tries(most=2) as (attempts, peer):
+            other = await Peer().open()
+            attempts.list(target("s", peer.address), target("t", other.address))
+            await attempts.served(peer)
+            attempts.start("t")
+            busy = await other.calls.get()
+            attempts.start("t")
+            second = await other.calls.get()
+            assert not attempts.pool.backends["s"].idle
+            attempts.start("s")
+            assert await attempts.result() is Result.CONNECT_FAILED  # nothing is idle now
+            for call in (busy, second):
+                call.reply()
+                assert await attempts.result() is Result.OK
+            other.close()
+
+    run(test())
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,141 @@
+"""The watch on the list, against a registry that the test plays."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+
+from flintlatch.api import ServerState
+from flintlatch.net import discovery as discovery_module
+from flintlatch.net.discovery import Discovery, Listing
+from flintlatch.settings import Wire
+from tests.loopback import Call, Peer, listing, proxy, run, target
+
+ADDRESS = "127.0.0.9:80"
+
+
+class Heard:
+    def __init__(self, address: str) -> None:
+        wire = Wire({}, {}, {"a": 0}, {"m": 0}, 1000.0, 1000.0)
+        self.lists: asyncio.Queue[Listing] = asyncio.Queue()
+        self.failures: asyncio.Queue[str] = asyncio.Queue()
+        self.discovery = Discovery(address, wire, 41, self.lists.put_nowait, self.failures.put_nowait)
+
+
+@asynccontextmanager
+async def watching() -> AsyncIterator[tuple[Heard, Peer]]:
+    peer = await Peer().open()
+    heard = Heard(peer.address)
+    heard.discovery.watch()
+    try:
+        yield heard, peer
+    finally:
+        heard.discovery.close()
+        peer.close()
+
+
+def reply(call: Call, what: Any) -> None:
+    call.reply(json.dumps(what).encode())
+
+
+def test_watches_follow_back_to_back_on_one_connection() -> None:
+    async def test() -> None:
+        async with watching() as (heard, peer):
+            first = await peer.calls.get()
+            assert first.line == "GET /registry/instances?since=41&timeout_ms=1 HTTP/1.1"
+            reply(first, listing(41, whole=False))
+            assert (await heard.lists.get()).targets == ()
+            second = await peer.calls.get()
+            assert second.line == "GET /registry/instances?since=41&timeout_ms=4000 HTTP/1.1"
+            heard.discovery.watch()  # one watch is on: no second one
+            reply(second, listing(43, target("s", ADDRESS, "leaving", 7), whole=False))
+            news = await heard.lists.get()
+            assert (news.rev, news.whole) == (43, False)
+            (info,) = (t.info for t in news.targets)
+            assert (info.server, info.state, info.started, info.cell) == ("s", ServerState.DRAINING, 7.0, 1)
+            third = await peer.calls.get()
+            assert third.line.startswith("GET /registry/instances?since=43&")
+            assert third.connection == 1 and heard.failures.empty()
+
+    run(test())
+
+
+BAD = [
+    b"{",
+    b"[]",
+    b"{}",
+    b'{"rev":42,"all":true}',
+    b'{"rev":"x","all":true,"targets":[]}',
+    json.dumps(listing(42, target("s", "host.name:80"))).encode(),
+    json.dumps(listing(42, target("s", "127.0.0.1"))).encode(),
+    json.dumps(listing(42, target("s", ADDRESS, "odd"))).encode(),
+    json.dumps(listing(42, {"uid": "s"})).encode(),
+]
+
+
+@pytest.mark.parametrize("body", BAD)
+def test_a_list_that_cannot_be_read_is_a_failed_call(body: bytes) -> None:
+    async def test() -> None:
+        async with watching() as (heard, peer):
+            (await peer.calls.get()).reply(body)
+            await heard.failures.get()
+            assert heard.lists.empty()
+            heard.discovery.watch()  # when the module says so, from the version held
+            call = await peer.calls.get()
+            assert call.line.startswith("GET /registry/instances?since=41&")
+            reply(call, listing(44))
+            assert (await heard.lists.get()).rev == 44
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", ["503", "reset", "refused", "silent"])
+def test_each_failed_call_is_told_once(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    if how == "silent":
+        monkeypatch.setattr(discovery_module, "GRACE_MS", 50)
+
+    async def test() -> None:
+        if how == "refused":
+            peer = await Peer().open()
+            peer.close()
+            await peer.server.wait_closed()
+            heard = Heard(peer.address)
+            heard.discovery.watch()
+            await heard.failures.get()
+            return
+        async with watching() as (heard, peer):
+            call = await peer.calls.get()
+            if how == "503":
+                call.reply(status=503)
+            elif how == "reset":
+                call.writer.close()
+            await heard.failures.get()
+            await call.closed.wait()
+            assert heard.failures.empty() and heard.lists.empty()
+
+    run(test())
+
+
+def test_the_proxy_keeps_its_list_through_bad_news_and_replaces_it_by_a_whole_one() -> None:
+    async def test() -> None:
+        async with proxy(backends=2) as p:
+            bad = await p.registry.calls.get()
+            bad.reply(b'{"rev":2,"all":true,"targets":[{"uid":5}]}')
+            client = await p.client()
+            assert (await client.ask("/health/ready", "GET")).status == 200
+            assert set(p.engine.backends.backends) == {"s0", "s1"}
+            good = await p.registry.calls.get()
+            reply(good, listing(3, target("s1", p.backends[1].address)))
+            await p.registry.calls.get()  # the next watch: the news is in
+            assert set(p.engine.backends.backends) == {"s1"}
+            for number in range(5):
+                client.send(x_call_id=f"c{number}")
+                (await p.backends[1].calls.get()).reply()
+                assert (await client.reply()).status == 200
+
+    run(test())
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,261 @@
+"""The engine with a module that the test scripts: steps, final answers, and a module that breaks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from flintlatch.api import (
+    Action,
+    Arrival,
+    Cancel,
+    ClientGone,
+    Fail,
+    ListKind,
+    Log,
+    Outcome,
+    Probe,
+    ProbeResult,
+    Refuse,
+    Result,
+    Send,
+    ServerList,
+    SetTimer,
+    Settings,
+    TimerFired,
+    Watch,
+)
+from flintlatch.net import engine as engine_module
+from tests.loopback import proxy, run
+
+Step = Callable[[list[Any]], list[Action]]
+
+
+class Script:
+    """Stands in for the module: keeps each batch and answers by `act`."""
+
+    act: Step
+    batches: list[list[Any]]
+    lives: int
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        Script.lives += 1
+
+    def step(self, now: float, events: list[Any]) -> list[Action]:
+        Script.batches.append(events)
+        return Script.act(events)
+
+
+@pytest.fixture
+def script(monkeypatch: pytest.MonkeyPatch) -> type[Script]:
+    Script.act, Script.batches, Script.lives = staticmethod(lambda events: []), [], 0
+    monkeypatch.setattr(engine_module, "Balancer", Script)
+    return Script
+
+
+def each(kind: type[Any], act: Callable[[Any], list[Action]]) -> Step:
+    return staticmethod(lambda events: [a for e in events if isinstance(e, kind) for a in act(e)])
+
+
+def events(kind: type[Any]) -> list[Any]:
+    return [e for batch in Script.batches for e in batch if isinstance(e, kind)]
+
+
+async def until(true: Callable[[], object]) -> None:
+    while not true():
+        await asyncio.sleep(0.001)
+
+
+def test_the_saved_list_comes_first(script: type[Script]) -> None:
+    async def test() -> None:
+        async with proxy(backends=2):
+            await until(lambda: script.batches)
+            (saved,) = script.batches[0]
+            assert (saved.kind, [e.server for e in saved.entries]) == (ListKind.SAVED, ["s0", "s1"])
+
+    run(test())
+
+
+def test_what_a_client_asks_reaches_the_module(script: type[Script]) -> None:
+    script.act = each(Arrival, lambda e: [Fail(e.request)])
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            await client.ask("/purchase/x", idempotency_key="k", x_route_hash="7f3a9c21e0b4d655", x_again="1")
+            (arrival,) = events(Arrival)
+            assert (arrival.request, arrival.cls, arrival.key) == ("c1", 0, 0x7F3A9C21E0B4D655)
+            assert arrival.repeat
+
+    run(test())
+
+
+def test_refusals_and_failures_go_out_at_once(script: type[Script]) -> None:
+    script.act = each(
+        Arrival,
+        lambda e: [Fail(e.request)] if e.request == "f" else [Refuse(e.request, 250.0 * (e.request == "r"))],
+    )
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            refused = await client.ask(x_call_id="r")
+            assert (refused.status, refused.headers["retry-after"]) == (503, "0.250")
+            plain = await client.ask(x_call_id="p")
+            assert plain.status == 503 and "retry-after" not in plain.headers
+            assert (await client.ask(x_call_id="f")).status == 504
+            assert p.backends[0].connections == 0 and not events(ClientGone)
+
+    run(test())
+
+
+def test_a_request_that_the_module_forgets_is_answered_by_its_deadline(script: type[Script]) -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            assert (await client.ask(x_budget_ms="30")).status == 504
+            await until(lambda: events(ClientGone))
+
+    run(test())
+
+
+def test_events_of_one_turn_go_to_one_step_and_lists_go_first(script: type[Script]) -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            await until(lambda: script.batches)
+            script.batches.clear()
+            p.engine.client_gone("nobody")  # no longer held: no event
+            p.engine._on_timer(7, p.engine.life)
+            p.engine.on_list_failure("test")
+            p.engine._on_timer(8, p.engine.life)
+            await until(lambda: script.batches)
+            assert script.batches == [[ServerList(ListKind.FAILED), TimerFired(7), TimerFired(8)]]
+
+    run(test())
+
+
+def test_events_raised_by_actions_come_in_a_later_step(script: type[Script]) -> None:
+    script.act = each(Arrival, lambda e: [Send(e.request, "unknown", 1000.0), Log("after")])
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send()
+            await until(lambda: events(Outcome))
+            assert not any(
+                isinstance(e, Outcome) for b in script.batches for e in b if Arrival in map(type, b)
+            )
+            assert events(Outcome)[0][:3] == ("c1", 0, Result.CONNECT_FAILED)
+
+    run(test())
+
+
+def test_an_attempt_after_the_end_is_not_sent_and_gets_its_outcome(script: type[Script]) -> None:
+    script.act = each(Arrival, lambda e: [Fail(e.request), Send(e.request, "s0", 1000.0)])
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            assert (await client.ask()).status == 504
+            await until(lambda: events(Outcome))
+            assert [(e.result, e.finished) for e in events(Outcome)] == [(Result.NOT_SENT, True)]
+            assert p.backends[0].connections == 0
+            await until(lambda: not p.engine.requests)
+
+    run(test())
+
+
+def test_a_client_that_leaves_as_its_request_is_sent_again_gets_nothing_sent(script: type[Script]) -> None:
+    # The module hears of the outcome and of the client's leaving in one step, and has sent again between.
+    def act(batch: list[Any]) -> list[Action]:
+        actions: list[Action] = [Send(e.request, "s0", 9000.0) for e in batch if isinstance(e, Arrival)]
+        for event in batch:
+            if isinstance(event, Outcome) and event.attempt == 0:
+                actions += [Send(event.request, "s0", 9000.0), Cancel(event.request, 1)]
+        return actions
+
+    script.act = staticmethod(act)
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send()
+            await p.backends[0].calls.get()
+            held = p.engine.requests["c1"]
+            held.attempts[0].end(Result.FULL)
+            p.engine.client_gone("c1")
+            await until(lambda: len(events(Outcome)) == 2)
+            assert [(e.attempt, e.result) for e in events(Outcome)] == [
+                (0, Result.FULL),
+                (1, Result.NOT_SENT),
+            ]
+            assert p.backends[0].calls.empty()
+            await until(lambda: not p.engine.requests)
+
+    run(test())
+
+
+def test_timers_watches_and_probes_are_carried_out(script: type[Script]) -> None:
+    script.act = each(
+        ServerList, lambda e: [SetTimer(1.0, 42), Probe("s0"), Watch()] * (e.kind is ListKind.SAVED)
+    )
+
+    async def test() -> None:
+        async with proxy() as p:
+            probe = await p.backends[0].calls.get()
+            assert probe.line == "GET /stats HTTP/1.1" and "x-call-id" not in probe.headers
+            probe.reply()
+            watch = await p.registry.calls.get()
+            assert watch.line.startswith("GET /registry/instances?since=1&")
+            await until(lambda: events(TimerFired) and events(ProbeResult))
+            assert events(TimerFired) == [TimerFired(42)]
+            assert events(ProbeResult)[0][:2] == ("s0", Result.OK)
+
+    run(test())
+
+
+def test_a_broken_module_is_shown_and_fails_its_requests_once(
+    script: type[Script], capsys: pytest.CaptureFixture[str]
+) -> None:
+    def act(batch: list[Any]) -> list[Action]:
+        arrivals = [e.request for e in batch if isinstance(e, Arrival)]
+        if "break" in arrivals:
+            raise ZeroDivisionError("in the module")
+        return [Send(request, "s0", 9000.0) for request in arrivals]
+
+    script.act = staticmethod(act)
+
+    async def test() -> None:
+        async with proxy() as p:
+            first, second = await p.client(), await p.client()
+            first.send(x_call_id="held")
+            call = await p.backends[0].calls.get()
+            assert (await second.ask(x_call_id="break")).status == 500
+            assert (await first.reply()).status == 500
+            await call.closed.wait()
+            first.send(x_call_id="later")  # a new module serves on, with the list as it stands
+            (await p.backends[0].calls.get()).reply()
+            assert (await first.reply()).status == 200
+            assert [e.kind for e in events(ServerList)] == [ListKind.SAVED, ListKind.SAVED]
+            assert script.lives == 2
+
+    run(test())
+    shown = capsys.readouterr().err
+    assert shown.count("the decision module broke") == 1 and "in the module" in shown
+
+
+def test_one_action_that_cannot_be_carried_out_leaves_the_others(
+    script: type[Script], monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    script.act = each(Arrival, lambda e: [Probe("s0"), Fail(e.request)])
+
+    async def test() -> None:
+        async with proxy() as p:
+            monkeypatch.setattr(p.engine.backends, "start", lambda attempt: 1 / 0)
+            assert (await (await p.client()).ask()).status == 504
+
+    run(test())
+    assert "was not carried out" in capsys.readouterr().err
--- /dev/null
+++ b/tests/test_frontend.py
@@ -0,0 +1,274 @@
+"""The clients' side: what is taken, what is turned away, and that each request is answered once."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from flintlatch.net import frontend as frontend_module
+from tests.loopback import Client, proxy, run
+
+
+def test_a_request_goes_on_unchanged_and_the_answer_comes_back() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send("/purchase/7?x=1", body=b"\x00body", idempotency_key="k1", x_other="kept",
+                        connection="x-hop", x_hop="dropped")  # fmt: skip
+            call = await p.backends[0].calls.get()
+            assert call.line == "POST /purchase/7?x=1 HTTP/1.1"
+            assert call.body == b"\x00body"
+            assert (call.headers["x-call-id"], call.headers["idempotency-key"]) == ("c1", "k1")
+            assert 0 < int(call.headers["x-budget-ms"]) <= 20000
+            assert call.headers["x-other"] == "kept" and "x-hop" not in call.headers
+            call.reply(b"\x01answer", headers={"content-type": "app/x"})
+            reply = await client.reply()
+            assert (reply.status, reply.body, reply.headers["content-type"]) == (200, b"\x01answer", "app/x")
+
+    run(test())
+
+
+def test_a_get_is_sent_for_a_class_that_is_safe_to_repeat() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send("/lookup", "GET")
+            call = await p.backends[0].calls.get()
+            assert (call.line, call.body) == ("GET /lookup HTTP/1.1", b"")
+            call.reply()
+            assert (await client.reply()).status == 200
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("status", "path", "method", "headers"),
+    [
+        (404, "/unknown", "POST", {}),
+        (404, "/", "POST", {}),
+        (405, "/answer", "GET", {}),
+        (405, "/lookup", "POST", {}),
+        (405, "/health/ready", "POST", {}),
+        (400, "/purchase", "POST", {}),
+        (400, "/answer", "POST", {"x_call_id": None}),
+        (400, "/answer", "POST", {"x_call_id": ""}),
+        (400, "/answer", "POST", {"x_call_id": "x" * 200}),
+        (400, "/answer", "POST", {"x_budget_ms": None}),
+        (400, "/answer", "POST", {"x_budget_ms": "soon"}),
+        (400, "/answer", "POST", {"x_budget_ms": "-5"}),
+        (400, "/answer", "POST", {"x_budget_ms": "0"}),
+        (400, "/answer", "POST", {"x_route_hash": "no hex"}),
+        (400, "/answer", "POST", {"host": None}),
+        (400, "/answer", "POST", {"X-Budget-Ms": "7"}),
+    ],
+)  # fmt: skip
+def test_bad_requests_are_answered_and_the_connection_stays_sane(
+    status: int, path: str, method: str, headers: dict[str, str | None]
+) -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            assert (await client.ask(path, method, **headers)).status == status
+            assert (await client.ask("/health/ready", "GET")).status == 200
+            assert p.backends[0].connections == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("status", "sent"),
+    [
+        (400, b"nonsense\r\n\r\n"),
+        (400, b"POST /answer HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n"),
+        (400, b"GET /lookup HTTP/1.1\r\nhost: a\r\nx-long: " + b"y" * 20000 + b"\r\n\r\n"),
+        (400, b"GET /lookup HTTP/1.1\r\nx-endless: " + b"y" * 200000),
+        (413, b"POST /answer HTTP/1.1\r\nhost: a\r\ncontent-length: 65537\r\n\r\n"),
+        (413, b"POST /answer HTTP/1.1\r\nhost: a\r\ncontent-length: 99999999999\r\n\r\n"),
+        (413, b"POST /answer HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+              b"10001\r\n" + b"z" * 65537 + b"\r\n0\r\n\r\n"),
+    ],
+)  # fmt: skip
+def test_what_cannot_be_read_is_answered_and_the_connection_ends(status: int, sent: bytes) -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.writer.write(sent)
+            reply = await client.reply()
+            assert (reply.status, reply.headers["connection"]) == (status, "close")
+            assert await client.ended()
+            other = await p.client()
+            assert (await other.ask("/health/ready", "GET")).status == 200
+
+    run(test())
+
+
+def test_a_body_of_64_kib_in_chunks_is_taken() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.writer.write(
+                b"POST /answer HTTP/1.1\r\nhost: a\r\nx-call-id: c\r\nx-budget-ms: 20000\r\n"
+                b"transfer-encoding: chunked\r\n\r\n10000\r\n" + b"z" * 65536 + b"\r\n0\r\n\r\n"
+            )
+            call = await p.backends[0].calls.get()
+            assert call.body == b"z" * 65536 and "transfer-encoding" not in call.headers
+            call.reply(b"r" * 65536)
+            assert (await client.reply()).body == b"r" * 65536
+
+    run(test())
+
+
+def test_an_id_that_is_open_is_not_taken_again() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            first, second = await p.client(), await p.client()
+            first.send()
+            call = await p.backends[0].calls.get()
+            assert (await second.ask()).status == 400
+            call.reply(b"first")
+            assert (await first.reply()).body == b"first"
+
+    run(test())
+
+
+def test_requests_sent_ahead_on_one_connection_are_answered_in_order() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            for number in range(20):
+                client.send(x_call_id=f"c{number}")
+            for number in range(20):
+                call = await p.backends[0].calls.get()
+                assert call.headers["x-call-id"] == f"c{number}"
+                call.reply(b"%d" % number)
+                assert (await client.reply()).body == b"%d" % number
+
+    run(test())
+
+
+def test_a_client_that_leaves_frees_its_backend() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send()
+            call = await p.backends[0].calls.get()
+            client.close()
+            await call.closed.wait()
+            while p.engine.requests:  # a turn of the loop or two, within the limit on the test
+                await asyncio.sleep(0)
+
+    run(test())
+
+
+def test_half_an_answer_never_goes_out() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send()
+            call = await p.backends[0].calls.get()
+            call.writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf of it")
+            call.writer.close()
+            reply = await client.reply()
+            assert (reply.status, reply.body) == (504, b"")
+
+    run(test())
+
+
+def test_an_answer_beyond_64_kib_is_not_passed_on() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send()
+            (await p.backends[0].calls.get()).reply(b"x" * 65537)
+            assert (await client.reply()).status == 504
+
+    run(test())
+
+
+def test_the_backend_is_told_no_more_than_the_class_allows() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send(x_budget_ms="999999999")
+            call = await p.backends[0].calls.get()
+            assert int(call.headers["x-budget-ms"]) <= 30000
+            call.reply()
+            assert (await client.reply()).status == 200
+
+    run(test())
+
+
+def test_at_the_cap_the_connection_idle_for_longest_makes_room() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            p.frontend.most = 2
+            busy, idle = await p.client(), await p.client()
+            busy.send()
+            call = await p.backends[0].calls.get()
+            assert (await idle.ask("/health/ready", "GET")).status == 200
+            third = await p.client()
+            assert (await third.ask("/health/ready", "GET")).status == 200
+            assert await idle.ended()
+            call.reply()
+            assert (await busy.reply()).status == 200
+
+    run(test())
+
+
+def test_at_the_cap_with_all_busy_the_next_client_waits_its_turn() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            p.frontend.most = 1
+            busy = await p.client()
+            busy.send()
+            call = await p.backends[0].calls.get()
+            waiting = await p.client()
+            waiting.send("/health/ready", "GET")
+            while p.frontend.accepting:
+                await asyncio.sleep(0.001)
+            call.reply()
+            assert (await busy.reply()).status == 200
+            busy.close()
+            assert (await waiting.reply()).status == 200
+
+    run(test())
+
+
+def test_a_request_that_never_comes_in_whole_loses_its_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontend_module, "HALF_READ_S", 0.02)
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.writer.write(b"POST /answer HTTP/1.1\r\nhost")
+            assert await client.ended()
+
+    run(test())
+
+
+def test_stopping_serves_what_comes_and_closes_between_requests() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            busy, idle = await p.client(), await p.client()
+            busy.send()
+            assert (await idle.ask("/health/ready", "GET")).status == 200
+            call = await p.backends[0].calls.get()
+            p.frontend.stop_keeping()
+            late = await Client.open(p.frontend.address)
+            reply = await late.ask("/health/ready", "GET")
+            assert (reply.status, reply.headers["connection"]) == (503, "close")
+            late.close()
+            ended = asyncio.create_task(p.frontend.finish(30.0))
+            assert await idle.ended()
+            assert not ended.done()
+            call.reply(b"last")
+            reply = await busy.reply()
+            assert (reply.status, reply.body, reply.headers["connection"]) == (200, b"last", "close")
+            assert await busy.ended()
+            busy.close()
+            await ended
+            with pytest.raises(ConnectionRefusedError):
+                await p.client()
+
+    run(test())
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,95 @@
+"""The program as the platform starts it: configuration, signals, exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.loopback import LIMIT_S, Client, Peer, configuration, run, target
+
+GOOD = configuration("127.0.0.1:1")
+COMMAND = [sys.executable, "-m", "flintlatch"]
+
+
+def write(folder: Path, config: Any) -> dict[str, str]:
+    path = folder / "config.json"
+    path.write_text(config if isinstance(config, str) else json.dumps(config))
+    return {k: v for k, v in os.environ.items() if not k.startswith("LB_")} | {"LB_CONFIG": str(path)}
+
+
+def without(name: str) -> dict[str, Any]:
+    return {k: v for k, v in GOOD.items() if k != name}
+
+
+@pytest.mark.parametrize(
+    ("config", "words"),
+    [
+        ("{", "not JSON"),
+        ("[]", "configuration"),
+        (without("settings"), "settings"),
+        (without("seed"), "seed"),
+        (without("known"), "known"),
+        (GOOD | {"seed": "xyz"}, "base 16"),
+        (GOOD | {"listen": "here"}, "here"),
+        (GOOD | {"listen": "203.0.113.1:1"}, "assign"),
+        (GOOD | {"known": {"rev": 1, "all": True, "targets": [{}]}}, "uid"),
+        (GOOD | {"settings": {"Lanes": []}}, "class"),
+        (GOOD | {"settings": {}}, "Lanes"),
+        (GOOD | {"settings": GOOD["settings"] | {"TickMs": 0}}, "tick_ms"),
+        (GOOD | {"settings": GOOD["settings"] | {"Limits": {"ConnIdleMs": -1}}}, "conn_idle_ms"),
+    ],
+)
+def test_a_bad_configuration_ends_it_with_one_plain_line(tmp_path: Path, config: Any, words: str) -> None:
+    done = subprocess.run(
+        COMMAND, env=write(tmp_path, config), capture_output=True, text=True, timeout=LIMIT_S, check=False
+    )
+    assert done.returncode == 2
+    assert done.stderr.count("\n") == 1 and "Traceback" not in done.stderr
+    assert words in done.stderr
+
+
+def test_without_a_configuration_it_says_so() -> None:
+    env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
+    done = subprocess.run(COMMAND, env=env, capture_output=True, text=True, timeout=LIMIT_S, check=False)
+    assert (done.returncode, done.stderr) == (2, "flintlatch: LB_CONFIG is not set\n")
+
+
+def test_sigterm_ends_it_cleanly_after_what_was_taken_is_answered(tmp_path: Path) -> None:
+    async def test() -> None:
+        backend = await Peer().open()
+        config = configuration("127.0.0.1:1", target("s", backend.address))
+        program = await asyncio.create_subprocess_exec(
+            *COMMAND, env=write(tmp_path, config), stderr=asyncio.subprocess.PIPE
+        )
+        assert program.stderr is not None
+        line = (await program.stderr.readline()).decode()
+        assert line.startswith("flintlatch: n0 listens on 127.0.0.1:")
+        address = line.split()[-1]
+        client = await Client.open(address)
+        client.send()
+        call = await backend.calls.get()
+        program.send_signal(signal.SIGTERM)
+        while "stopping" not in (await program.stderr.readline()).decode():
+            pass
+        late = await Client.open(address)  # connections still come for a moment, and are served
+        ready = await late.ask("/health/ready", "GET")
+        assert (ready.status, ready.headers["connection"]) == (503, "close")
+        call.reply(b"taken before")
+        reply = await client.reply()
+        assert (reply.status, reply.body) == (200, b"taken before")
+        client.close()
+        late.close()
+        rest = (await program.stderr.read()).decode()
+        assert await program.wait() == 0
+        assert "bug" not in rest and "still open" not in rest
+        backend.close()
+
+    run(test())
