--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -125,12 +125,14 @@
             try:
                 async with asyncio.timeout((wait + GRACE_MS) / 1000):
                     news = await self._fetch(wait)
-            except (OSError, Malformed) as error:
+                self.on_list(news)
+            except Exception as error:
+                # Whatever went wrong here, the module must hear of it: with a watch that has died unseen it
+                # would believe its list for good and send to what drains.
                 self._hang_up()
-                self.on_failure(str(error) or type(error).__name__)
+                self.on_failure(f"{type(error).__name__}: {error}")
                 return
             self.rev, wait = news.rev, WAIT_MS
-            self.on_list(news)
 
     async def _fetch(self, wait: int) -> Listing:
         if self.call is None or not self.call.usable:
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -110,7 +110,7 @@
         # No client waits longer than its class allows: a larger budget would skew what the module learns.
         budget = min(taken.budget_ms, self.settings.classes[taken.cls].deadline_ms)
         held = self.requests[taken.id] = Held(taken)
-        held.timer = self.loop.call_later(budget / 1000, self._deadline, held)
+        held.timer = self.loop.call_later(max(budget, 0.0) / 1000, self._deadline, held)
         key, repeat = taken.key, taken.repeat
         self._raise(Arrival(taken.id, taken.cls, taken.tenant, key, now_ms() + budget, repeat))
         return True
@@ -172,24 +172,25 @@
         for held in ended:
             # Not earlier: the module may have sent it again in the step that told it of the end, and each
             # sending is owed its outcome.
-            if all(attempt.ended for attempt in held.attempts):
-                self.requests.pop(held.taken.id, None)
+            if self.requests.get(held.taken.id) is held and all(attempt.ended for attempt in held.attempts):
+                del self.requests[held.taken.id]
 
     def _module_broke(self) -> None:
         """What a module that raised still knows can't be trusted: its requests fail, a new one takes over."""
         log(f"the decision module broke\n{traceback.format_exc()}")
-        for held in list(self.requests.values()):
-            if not held.over:
-                self._answer(held, Answer(500))
-            for attempt in held.attempts:
-                self.backends.cancel(attempt)
         self.life += 1
-        self.balancer, self.events, self.ended = Balancer(self.settings, self.seed + self.life), [], []
-        self.requests.clear()
+        self.balancer = Balancer(self.settings, self.seed + self.life)
         entries = tuple(backend.target.info for backend in self.backends.backends.values())
-        self.news = [ServerList(ListKind.SAVED, entries)]
+        self.news, self.events, self.ended = [ServerList(ListKind.SAVED, entries)], [], []
         # One that breaks at once, again and again, must leave time for answering.
         self.turn = self.loop.call_later(MODULE_REST_S, self._step)
+        # An answer may bring the next request of its connection, which is the new module's.
+        broken, self.requests = self.requests, {}
+        for held in broken.values():
+            for attempt in held.attempts:
+                self.backends.cancel(attempt)
+            if not held.over:
+                self._answer(held, Answer(500))
 
     def _carry_out(self, action: Action) -> None:
         if isinstance(action, Send):
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -18,12 +18,13 @@
 from flintlatch.settings import Wire
 
 BACKLOG = 512
-ACCEPT_AT_ONCE = 16  # connections a turn: those closed to make room free their descriptors only after it
-PIPELINED = 8  # requests read ahead on one connection before it is not read any further
+ACCEPT_AT_ONCE = 16  # connections a turn: requests on open ones must not wait for a flood of new ones
+PIPELINED = 2  # requests read ahead on one connection before it is not read any further
 HALF_READ_S = 10.0  # s that a request may take to come in whole
 LINGER_S = 1.0  # s that a closed connection may go on sending before it is cut off
-RETRY_ACCEPT_S = 0.05  # s until the next try when the system has no descriptor to give
-UNREAD_ANSWERS = 4 * MAX_BODY  # bytes of answers that a client may leave unread
+RETRY_ACCEPT_S = 0.05  # s until the next try when there was no descriptor to give
+FIRST_REQUEST_MS = 1000.0  # ms in which a new connection is not yet idle: its first request is on the way
+UNREAD_ANSWERS = 2 * MAX_BODY  # bytes of answers that a client may leave unread
 SINGLE = frozenset((b"host", b"x-call-id", b"x-budget-ms", b"x-route-hash", b"x-caller", b"idempotency-key"))
 READY_PATH = b"/health/ready"
 
@@ -55,7 +56,7 @@
         self.keep = True
         self.closing = False  # nothing more is read
         self.reading_since: float | None = None  # when the request began that is not here whole
-        self.used = now_ms()
+        self.used, self.served = now_ms(), False
         self._reset()
 
     def _reset(self) -> None:
@@ -177,7 +178,8 @@
     def write(self, answer: Answer) -> None:
         if self.transport.is_closing():
             return
-        keep = self.keep and not self.frontend.stopping
+        # What was sent ahead on this connection is taken too: it closes after the last of it.
+        keep = self.keep and not (self.frontend.stopping and not self.queue)
         self.transport.write(
             b"HTTP/1.1 %d %b\r\n%bcontent-length: %d\r\n%b\r\n%b"
             % (
@@ -189,7 +191,7 @@
                 answer.body,
             )
         )
-        self.used = now_ms()
+        self.used, self.served = now_ms(), True
         if not keep:
             self.finish()
         elif self.transport.get_write_buffer_size() > UNREAD_ANSWERS:
@@ -244,13 +246,18 @@
             self.accepting = False
             self.loop.remove_reader(self.sock.fileno())
 
+    def _accept_later(self) -> None:
+        """There is no room; a client that goes makes some, and so does one that is idle by then."""
+        self._accept_off()
+        self.loop.call_later(RETRY_ACCEPT_S, self._accept_on)
+
     def _accept(self) -> None:
         assert self.sock is not None
         for _ in range(ACCEPT_AT_ONCE):
             full = self.held >= self.most
             idle = self._longest_idle() if full else None
             if full and idle is None:
-                self._accept_off()  # until a client goes; the kernel's queue holds those that come
+                self._accept_later()  # the kernel's queue holds those that come
                 return
             try:
                 sock, _ = self.sock.accept()
@@ -258,8 +265,7 @@
                 return
             except OSError as error:
                 log(f"accept: {error}")
-                self._accept_off()
-                self.loop.call_later(RETRY_ACCEPT_S, self._accept_on)
+                self._accept_later()
                 return
             if idle is not None:  # only now that somebody needs its place
                 del self.clients[idle]
@@ -268,6 +274,8 @@
             task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: Client(self), sock))
             self.opening.add(cast("asyncio.Task[object]", task))
             task.add_done_callback(self._opened)
+            if idle is not None:
+                return  # its descriptor is free only after this turn
 
     def _opened(self, task: asyncio.Task[object]) -> None:
         self.opening.discard(task)
@@ -276,7 +284,9 @@
             self._freed()
 
     def _longest_idle(self) -> Client | None:
-        return min((c for c in self.clients if c.idle()), key=lambda c: c.used, default=None)
+        fresh = now_ms() - FIRST_REQUEST_MS
+        idle = [c for c in self.clients if c.idle() and (c.served or c.used < fresh)]
+        return min(idle, key=lambda c: c.used, default=None)
 
     def lost(self, client: Client) -> None:
         self.clients.pop(client, None)
@@ -342,7 +352,7 @@
             cls,
             self._tenant(headers.get(b"x-caller")),
             read_key(headers.get(b"x-route-hash")),
-            float(budget),
+            float(budget) - (now_ms() - message.arrived),  # less what it waited behind others here
             headers.get(b"x-again") == b"1",
             b"%b %b HTTP/1.1\r\n%b%b"
             % (
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -121,6 +121,17 @@
     run(test())
 
 
+def test_a_watch_that_meets_a_bug_is_a_failed_call() -> None:
+    async def test() -> None:
+        async with watching() as (heard, peer):
+            heard.discovery.on_list = lambda _: None if 1 / 0 else None
+            reply(await peer.calls.get(), listing(42))
+            assert "ZeroDivisionError" in await heard.failures.get()
+            assert heard.discovery.rev == 41  # that news is asked for again
+
+    run(test())
+
+
 def test_the_proxy_keeps_its_list_through_bad_news_and_replaces_it_by_a_whole_one() -> None:
     async def test() -> None:
         async with proxy(backends=2) as p:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -29,6 +29,7 @@
     Watch,
 )
 from flintlatch.net import engine as engine_module
+from flintlatch.net.clock import now_ms
 from tests.loopback import proxy, run
 
 Step = Callable[[list[Any]], list[Action]]
@@ -93,6 +94,18 @@
     run(test())
 
 
+def test_a_client_waits_no_longer_than_its_class_allows(script: type[Script]) -> None:
+    # The module takes the longest wait of a class for that of a first try: one client must not stretch it.
+    script.act = each(Arrival, lambda e: [Fail(e.request)])
+
+    async def test() -> None:
+        async with proxy() as p:
+            await (await p.client()).ask(x_budget_ms="999999999")
+            assert events(Arrival)[0].give_up <= now_ms() + 30000
+
+    run(test())
+
+
 def test_refusals_and_failures_go_out_at_once(script: type[Script]) -> None:
     script.act = each(
         Arrival,
@@ -247,6 +260,27 @@
     assert shown.count("the decision module broke") == 1 and "in the module" in shown
 
 
+def test_a_request_sent_ahead_of_a_break_is_served_by_the_new_module(script: type[Script]) -> None:
+    def act(batch: list[Any]) -> list[Action]:
+        arrivals = [e.request for e in batch if isinstance(e, Arrival)]
+        if "break" in arrivals:
+            raise ZeroDivisionError("in the module")
+        return [Send(request, "s0", 9000.0) for request in arrivals]
+
+    script.act = staticmethod(act)
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send(x_call_id="break")
+            client.send(x_call_id="next")
+            assert (await client.reply()).status == 500
+            (await p.backends[0].calls.get()).reply()
+            assert (await client.reply()).status == 200
+
+    run(test())
+
+
 def test_one_action_that_cannot_be_carried_out_leaves_the_others(
     script: type[Script], monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
@@ -147,6 +148,40 @@
     run(test())
 
 
+def test_what_was_sent_ahead_is_answered_before_a_stop_closes_the_connection() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send(x_call_id="c0")
+            client.send(x_call_id="c1")
+            call = await p.backends[0].calls.get()
+            p.frontend.stop_keeping()
+            call.reply(b"0")
+            assert (await client.reply()).body == b"0"
+            (await p.backends[0].calls.get()).reply(b"1")
+            reply = await client.reply()
+            assert (reply.body, reply.headers["connection"]) == (b"1", "close")
+            assert await client.ended()
+
+    run(test())
+
+
+def test_the_budget_of_a_request_sent_ahead_runs_while_it_waits() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send(x_call_id="c0")
+            client.send(x_call_id="c1", x_budget_ms="200")
+            call = await p.backends[0].calls.get()
+            await asyncio.sleep(0.25)  # longer than the second may wait, however long it takes
+            call.reply()
+            assert (await client.reply()).status == 200
+            assert (await client.reply()).status == 504
+            assert p.backends[0].calls.empty()
+
+    run(test())
+
+
 def test_a_client_that_leaves_frees_its_backend() -> None:
     async def test() -> None:
         async with proxy() as p:
@@ -186,15 +221,21 @@
     run(test())
 
 
-def test_the_backend_is_told_no_more_than_the_class_allows() -> None:
+def test_a_client_gets_its_answer_while_it_still_sends_what_nobody_reads(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(frontend_module, "LINGER_S", 30.0)
+
+    def ask(address: str) -> bytes:
+        host, port = address.split(":")
+        with socket.create_connection((host, int(port))) as sock:
+            sock.sendall(b"POST /answer HTTP/1.1\r\nhost: a\r\ncontent-length: 8000000\r\n\r\n")
+            sock.sendall(b"x" * 8_000_000)
+            return sock.recv(1000)
+
     async def test() -> None:
         async with proxy() as p:
-            client = await p.client()
-            client.send(x_budget_ms="999999999")
-            call = await p.backends[0].calls.get()
-            assert int(call.headers["x-budget-ms"]) <= 30000
-            call.reply()
-            assert (await client.reply()).status == 200
+            assert (await asyncio.to_thread(ask, p.frontend.address)).startswith(b"HTTP/1.1 413 ")
 
     run(test())
 
@@ -229,7 +270,6 @@
                 await asyncio.sleep(0.001)
             call.reply()
             assert (await busy.reply()).status == 200
-            busy.close()
             assert (await waiting.reply()).status == 200
 
     run(test())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -62,6 +63,39 @@
     assert (done.returncode, done.stderr) == (2, "flintlatch: LB_CONFIG is not set\n")
 
 
+def test_more_clients_than_descriptors_are_served_in_turn(tmp_path: Path) -> None:
+    def few_descriptors() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
+
+    async def test() -> None:
+        backend = await Peer().open()
+        program = await asyncio.create_subprocess_exec(
+            *COMMAND,
+            env=write(tmp_path, configuration("127.0.0.1:1", target("s", backend.address))),
+            stderr=asyncio.subprocess.PIPE,
+            preexec_fn=few_descriptors,
+        )
+        assert program.stderr is not None
+        address = (await program.stderr.readline()).decode().split()[-1]
+        clients = []
+        for _ in range(200):
+            clients.append(await Client.open(address))
+            assert (await clients[-1].ask("/health/ready", "GET")).status == 200
+        together = await asyncio.gather(*(Client.open(address) for _ in range(60)))
+        for client in together:
+            client.send("/health/ready", "GET")
+        statuses = [(await client.reply()).status for client in together]
+        assert statuses == [200] * 60
+        program.send_signal(signal.SIGTERM)
+        assert "Too many open files" not in (await program.stderr.read()).decode()
+        assert await program.wait() == 0
+        for client in clients + together:
+            client.close()
+        backend.close()
+
+    run(test())
+
+
 def test_sigterm_ends_it_cleanly_after_what_was_taken_is_answered(tmp_path: Path) -> None:
     async def test() -> None:
         backend = await Peer().open()
