Never call an attempt unrun whose request was written as its connect time ended

Cause: backends.py, _open took a connect time that ran out in the turn in which the connection came up for 'could not connect', though the request had gone out by then: an unsafe request could have been sent twice. Found by reading; the new test plays that turn and fails without the mend. Also _drop: an attempt ended in the turn that started it cancels its opener before that has begun, so its connection was counted against the cap for good; the test of drains now looks at the count. Conclusion: the decisions are unchanged; the outcome table holds in the one turn where it did not.

--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -183,7 +183,9 @@
             async with asyncio.timeout(self.connect_timeout_s):
                 await self.loop.create_connection(lambda: connection, target.host, target.port)
         except OSError:  # refused, unreachable, out of descriptors, or too slow
-            if connection.attempt is not None:
+            # The time may run out just as the connection comes up: the request is written then, and how it
+            # ended is told by the connection.
+            if connection.attempt is not None and connection.transport is None:
                 connection.attempt.end(Result.CONNECT_FAILED)
         finally:
             connection.backend.connecting.discard(connection)
@@ -207,6 +209,10 @@
         connection.backend.connecting.discard(connection)
         connection.attempt = None
         connection.close()
+        if (
+            connection.transport is None
+        ):  # its opener may be cancelled before it has begun, and clear up nothing
+            self.connections.discard(connection)
 
     def put_back(self, connection: Connection) -> None:
         backend = connection.backend
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Any, cast
 
 import pytest
 
@@ -308,11 +309,35 @@
             attempts.start()
             attempts.list(target("s", peer.address, state))
             assert await attempts.result() is Result.CONNECT_FAILED
+            assert not attempts.pool.connections  # nothing of it counts towards the cap
             assert peer.calls.empty()
 
     run(test())
 
 
+def test_a_connection_that_comes_up_as_its_time_ends_tells_the_outcome_itself() -> None:
+    class Late:
+        """A loop whose connections come up, and whose time for that runs out in the same turn."""
+
+        def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+            self.create_task, self.call_later = loop.create_task, loop.call_later
+            self.connect = loop.create_connection
+
+        async def create_connection(self, *args: Any) -> None:
+            await self.connect(*args)
+            raise TimeoutError
+
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            attempts.pool.loop = cast(asyncio.AbstractEventLoop, Late(attempts.pool.loop))
+            attempts.start()
+            call = await peer.calls.get()
+            call.reply()
+            assert await attempts.result() is Result.OK
+
+    run(test())
+
+
 def test_at_the_cap_an_idle_connection_elsewhere_makes_room() -> None:
     async def test() -> None:
         async with tries(most=2) as (attempts, peer):
