Do not reuse a connection that answered before its request was written whole

Cause: http1.py, _finish kept a connection whose request was still partly in our buffer when the answer came; the rest of the old body would have run into the next request. Found by reading; the test fails without it.

--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -121,8 +121,9 @@
             self._break()
 
     def _finish(self) -> None:
-        self.waiting, self.usable = False, self._keep
-        if not self._keep and self.transport is not None:
+        # Answered before the request was written whole: its rest must not run into the next one.
+        self.waiting, self.usable = False, self._keep and not self.unsent
+        if not self.usable and self.transport is not None:
             self.transport.abort()
         self.on_response(Response(self._status, self._headers, bytes(self._body)))
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -124,21 +124,39 @@
     run(test())
 
 
+@asynccontextmanager
+async def half_written(attempts: Tries) -> AsyncIterator[socket.socket]:
+    """A peer that reads a little of a request far larger than the kernel's buffers."""
+    loop = asyncio.get_running_loop()
+    with socket.socket() as deaf:
+        deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        deaf.bind(("127.0.0.1", 0))
+        deaf.listen(1)
+        deaf.setblocking(False)
+        attempts.list(target("s", "{}:{}".format(*deaf.getsockname())))
+        attempts.start(body=b"x" * 32_000_000)
+        accepted, _ = await loop.sock_accept(deaf)
+        with accepted:
+            await loop.sock_recv(accepted, 10)
+            yield accepted
+
+
 def test_a_break_before_the_last_byte_never_ran() -> None:
     async def test() -> None:
-        async with tries() as (attempts, _):
-            with socket.socket() as deaf:
-                deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-                deaf.bind(("127.0.0.1", 0))
-                deaf.listen(1)
-                deaf.setblocking(False)
-                attempts.list(target("s", "{}:{}".format(*deaf.getsockname())))
-                # Far more than the kernel's buffers hold, and the peer reads nothing.
-                attempts.start(body=b"x" * 32_000_000)
-                accepted, _ = await asyncio.get_running_loop().sock_accept(deaf)
-                await asyncio.get_running_loop().sock_recv(accepted, 10)
-                accepted.close()
-                assert await attempts.result() is Result.CONNECT_FAILED
+        async with tries() as (attempts, _), half_written(attempts) as peer:
+            peer.close()
+            assert await attempts.result() is Result.CONNECT_FAILED
+
+    run(test())
+
+
+def test_a_connection_answered_before_the_last_byte_is_not_used_again() -> None:
+    async def test() -> None:
+        async with tries() as (attempts, _), half_written(attempts) as peer:
+            answer = b"HTTP/1.1 503 X\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n"
+            await asyncio.get_running_loop().sock_sendall(peer, answer)
+            assert await attempts.result() is Result.FULL
+            assert not attempts.pool.backends["s"].idle
 
     run(test())
 
