Bound what peers can send and hold; fail spoilt answers at once; blame servers only for what is theirs

New connections without a word had no limit, half-read ones 10 s (frontend.HALF_READ_S) against 3 s owed. Trailers ran through on_header into the checked headers, and bytes after a head were never counted. A GET's body was written behind its head. A connection was lent again in the turn of its answer (put_back), while a second copy could still be in the kernel. Ruled out: the parser does refuse both framings in these forms; checked now by the proxy itself all the same. Mend: net/request.py checks requests (allowlist of headers and bytes), frontend keeps connections in three places in order of time with a limit each, every byte of a message counts, ids are remembered for 4 s, hundreds of requests in one read are taken in pieces; http1 judges an answer at its head; backends let a connection rest and look for unread bytes, drop idle ones after silence; own lack and 4xx are results of their own. Log lines are limited.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -18,11 +18,14 @@
 from flintlatch.net.engine import Engine, log
 from flintlatch.net.frontend import Frontend
 from flintlatch.net.http1 import split_address
+from flintlatch.net.request import Reader
 from flintlatch.settings import Malformed, Wire, mapping, read_settings, read_wire, text, whole
 
 ACCEPT_ON_S = 0.55  # s after SIGTERM in which connections still come, and a little more for a busy machine
-SPARE_SOCKETS = 64  # descriptors for the program itself, discovery, and those that are just closing
-BACKEND_PART = 0.35  # of the other descriptors: requests in flight are fewer than open client connections
+SPARE_SOCKETS = 40  # descriptors for the program itself, discovery, and those that are just closing
+# Of the other descriptors: clients hold a third of all for requests at most, each in flight once or waiting
+# here, and beside them there are kept and silent ones.
+BACKEND_PART = 0.42
 
 
 class Config:
@@ -69,7 +72,7 @@
         config.discovery, config.wire, config.known.rev, engine.on_list, engine.on_list_failure
     )
     engine.on_list(config.known, ListKind.SAVED)
-    frontend = Frontend(engine, config.settings, config.wire, sockets - to_backends)
+    frontend = Frontend(engine, Reader(config.settings, config.wire), sockets - to_backends)
     frontend.listen(config.listen)
     return engine, frontend
 
--- a/flintlatch/api.py
+++ b/flintlatch/api.py
@@ -35,9 +35,11 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"
+    NO_ROOM = "no_room"  # this proxy lacked a connection or a descriptor for it: not the server's doing
+    INVALID = "invalid"  # the server finds the request itself at fault: another one would, too
 
 
-NEVER_RAN = frozenset({Result.FULL, Result.CONNECT_FAILED, Result.NOT_SENT})
+NEVER_RAN = frozenset({Result.FULL, Result.CONNECT_FAILED, Result.NOT_SENT, Result.NO_ROOM})
 
 
 class ServerState(Enum):
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -348,8 +348,8 @@
             self.learn_class(request.cls, delay)
             if delay < fair:
                 return  # sent too late to have a fair chance: says nothing of the server
-        if result in (Result.CANCELLED, Result.NOT_SENT):
-            return  # our own doing, likewise
+        if result in (Result.CANCELLED, Result.NOT_SENT, Result.NO_ROOM, Result.INVALID):
+            return  # our own doing, likewise, or the client's
         server.plays = min(server.plays + 1, 1 / PAYOFF_STEP)
         self.outcomes += 1
         # The aim counts from the send here: a server isn't blamed for the wait in our buffer.
@@ -422,7 +422,7 @@
     def again(self, now: float, request: Request, result: Result) -> None:
         """An attempt failed and none is out: another one, a refusal or a failure."""
         spec, ran = request.spec, request.first_run()
-        if result is Result.NOT_SENT or not self.may_follow(now, request):
+        if result in (Result.NOT_SENT, Result.INVALID) or not self.may_follow(now, request):
             self.end(request)
         elif ran is None:
             self.hold(request, True)
--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections.abc import Callable
 
 from flintlatch.api import Result, ServerState
 from flintlatch.net.clock import now_ms
 from flintlatch.net.discovery import Target
-from flintlatch.net.http1 import Exchange, Response
+from flintlatch.net.http1 import Exchange, Response, unread
 
 IDLE_PART = 0.6  # part of the backend's idle limit after which we close first: a late reuse ends as a reset
+# A second answer or noise may come right behind an answer: lent out later than this, the connection shows it.
+REST_MS = 2.0
+OWN_LACK = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 SWEEPS = 20  # looks at idle connections within that limit
 
 
@@ -49,6 +53,7 @@
 
     def __init__(self, target: Target) -> None:
         self.target, self.generation = target, 0
+        self.heard = 0.0  # when it last answered
         self.idle: list[Connection] = []  # the most recently used last
         self.connecting: set[Connection] = set()
 
@@ -57,6 +62,9 @@
 
     def renew(self) -> None:
         self.generation += 1
+        self.close_idle()
+
+    def close_idle(self) -> None:
         for connection in self.idle:
             connection.close()
         self.idle.clear()
@@ -94,6 +102,7 @@
 
     def on_response(self, response: Response) -> None:
         attempt, self.attempt = self.attempt, None
+        self.backend.heard = now_ms()
         self.pool.put_back(self)
         if attempt is None:
             return
@@ -101,6 +110,8 @@
             attempt.end(Result.OK, response)
         elif response.status in (503, 504) and response.header(b"x-rejected") == b"1":
             attempt.end(Result.FULL)
+        elif 400 <= response.status < 500:
+            attempt.end(Result.INVALID)
         else:
             attempt.end(Result.ERROR)
 
@@ -163,13 +174,12 @@
             return
         seconds = max(attempt.deadline - now_ms(), 0.0) / 1000
         attempt.timer = self.loop.call_later(seconds, self._limit, attempt)
-        while backend.idle:
-            connection = backend.idle.pop()
-            if connection.transport is not None and not connection.transport.is_closing():
-                connection.carry(attempt)
-                return
+        kept = self._lend(backend)
+        if kept is not None:
+            kept.carry(attempt)
+            return
         if not self._make_room():
-            attempt.end(Result.CONNECT_FAILED)
+            attempt.end(Result.NO_ROOM)
             return
         connection = Connection(self, backend)
         connection.attempt, attempt.connection = attempt, connection
@@ -177,16 +187,31 @@
         backend.connecting.add(connection)
         connection.opener = self.loop.create_task(self._open(connection))
 
+    @staticmethod
+    def _lend(backend: Backend) -> Connection | None:
+        """The connection used last that has rested since, with nothing on it that nobody asked for."""
+        rested = now_ms() - REST_MS
+        for place in range(len(backend.idle) - 1, -1, -1):
+            connection = backend.idle[place]
+            if connection.idle_since <= rested:
+                del backend.idle[place]
+                assert connection.transport is not None
+                if not connection.transport.is_closing() and not unread(connection.transport):
+                    return connection
+                connection.close()
+        return None
+
     async def _open(self, connection: Connection) -> None:
         target = connection.backend.target
         try:
             async with asyncio.timeout(self.connect_timeout_s):
                 await self.loop.create_connection(lambda: connection, target.host, target.port)
-        except OSError:  # refused, unreachable, out of descriptors, or too slow
+        except OSError as error:  # refused, unreachable, out of descriptors, or too slow
             # The time may run out just as the connection comes up: the request is written then, and how it
             # ended is told by the connection.
             if connection.attempt is not None and connection.transport is None:
-                connection.attempt.end(Result.CONNECT_FAILED)
+                lack = error.errno in OWN_LACK
+                connection.attempt.end(Result.NO_ROOM if lack else Result.CONNECT_FAILED)
         finally:
             connection.backend.connecting.discard(connection)
             if connection.transport is None:
@@ -199,6 +224,10 @@
         connection = attempt.connection
         never = connection is None or connection.never_ran()
         self._give_up(attempt, Result.CONNECT_FAILED if never else Result.TIMEOUT)
+        backend = self.backends.get(attempt.uid)
+        if backend is not None and not never and backend.heard < attempt.started:
+            # Nothing came from there in all that time: a machine cut off leaves connections that look fit.
+            backend.close_idle()
 
     def _give_up(self, attempt: Attempt, result: Result) -> None:
         if attempt.connection is not None:
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -34,15 +34,38 @@
 from flintlatch.net.backends import Attempt, Backends
 from flintlatch.net.clock import now_ms
 from flintlatch.net.discovery import Discovery, Listing
-from flintlatch.net.http1 import Response, end_to_end
+from flintlatch.net.http1 import Response
 from flintlatch.settings import Wire
 
 MODULE_REST_S = 0.1  # s from the end of a broken module to the first step of the next
+KNOWN_S = 4.0  # s at least that an id is remembered after its request came: no client waits for longer
+KNOWN_MOST = 20_000  # ids remembered at most
+LOG_LINES = 20  # lines a second: whatever floods the log must not keep the proxy from its work
+# What a client needs to read a body; all else is between the proxy and the backend.
+PASSED_ON = (b"content-type", b"content-encoding", b"content-language")
 PROBE_HEAD = b"GET /stats HTTP/1.1\r\nhost: backend.local\r\n"
 
 
-def log(line: str) -> None:
-    print(f"flintlatch: {line}", file=sys.stderr, flush=True)
+class Logger:
+    """Lines to standard error, so many a second; how many more there were is told in the next one."""
+
+    def __init__(self) -> None:
+        self.second, self.lines, self.dropped = 0, 0, 0
+
+    def __call__(self, line: str) -> None:
+        second = int(now_ms() / 1000)
+        if second != self.second:
+            self.second, self.lines = second, 0
+        self.lines += 1
+        if self.lines > LOG_LINES:
+            self.dropped += 1
+            return
+        if self.dropped:
+            line, self.dropped = f"{line} ({self.dropped} lines before it left out)", 0
+        print(f"flintlatch: {line}", file=sys.stderr, flush=True)
+
+
+log = Logger()
 
 
 class Answer(NamedTuple):
@@ -83,6 +106,8 @@
         self.probe_limit_ms = wire.connect_timeout_ms
         self.discovery: Discovery | None = None
         self.requests: dict[str, Held] = {}
+        self.known: dict[str, float] = {}  # ids of late, with the time at which they came, oldest first
+        self.longest_ms = max(c.deadline_ms for c in settings.classes)
         self.news: list[ServerList] = []
         self.events: list[Event] = []
         self.ended: list[Held] = []  # to be forgotten once the module has been told of their end
@@ -111,9 +136,11 @@
             self._raise(ServiceMoved())
 
     def take(self, taken: Taken) -> bool:
-        """False if a request of this id is still open."""
-        if taken.id in self.requests:
+        """False if a request of this id is open or was of late: ids don't return, and another's must not."""
+        self._forget_ids()
+        if taken.id in self.known or taken.id in self.requests:
             return False
+        self.known[taken.id] = now_ms()
         # No client waits longer than its class allows: a larger budget would skew what the module learns.
         budget = min(taken.budget_ms, self.settings.classes[taken.cls].deadline_ms)
         held = self.requests[taken.id] = Held(taken)
@@ -122,6 +149,14 @@
         self._raise(Arrival(taken.id, taken.cls, taken.tenant, key, now_ms() + budget, repeat))
         return True
 
+    def _forget_ids(self) -> None:
+        oldest = now_ms() - max(KNOWN_S * 1000, self.longest_ms)
+        while self.known:
+            first = next(iter(self.known))
+            if self.known[first] > oldest and len(self.known) < KNOWN_MOST:
+                break
+            del self.known[first]
+
     def client_gone(self, request_id: str) -> None:
         held = self.requests.get(request_id)
         if held is None or held.over:
@@ -139,7 +174,8 @@
         self, held: Held, number: int, attempt: Attempt, result: Result, got: Response | None
     ) -> None:
         if result is Result.OK and got is not None and not held.over:
-            self._answer(held, Answer(200, end_to_end(got.headers), got.body))
+            headers = b"".join(b"%b: %b\r\n" % pair for pair in got.headers if pair[0] in PASSED_ON)
+            self._answer(held, Answer(200, headers, got.body))
         delay = now_ms() - attempt.started
         self._raise(Outcome(held.taken.id, number, result, delay, held.over))
         self._forget(held)
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -5,43 +5,34 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable
 from http import HTTPStatus
-from typing import NamedTuple, cast
+from typing import cast
 
 import httptools
 
-from flintlatch.api import Effect, Settings
 from flintlatch.net.clock import now_ms
-from flintlatch.net.engine import Answer, Engine, Taken, log
-from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Headers, end_to_end, split_address
-from flintlatch.settings import Wire
+from flintlatch.net.engine import Answer, Engine, log
+from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Headers, split_address, unread
+from flintlatch.net.request import Bad, Message, Reader, check_framing
 
 BACKLOG = 512
 ACCEPT_AT_ONCE = 16  # connections a turn: requests on open ones must not wait for a flood of new ones
 PIPELINED = 2  # requests read ahead on one connection before it is not read any further
-HALF_READ_S = 10.0  # s that a request may take to come in whole
+PIECE = 4096  # bytes parsed before the requests in them are looked at: hundreds sent at once must not be
+MAX_MESSAGE = MAX_HEAD + 4 * MAX_BODY  # bytes of one request as sent, so many for the framing of chunks
+BAD_IN_A_ROW = 8  # refused requests after which a connection closes: one that only errs must come anew
+WHOLE_S = 2.0  # s from connecting, or from its first byte, in which a request must be here whole: 3 are owed
+SWEEP_S = 0.25  # s between looks at what is late
+IDLE_S = 30.0  # s that a kept connection may idle while there are places to spare
+IDLE_FULL_S = 2.0  # s, while over half of the places are taken
+SPARE_MS = 250.0  # ms in which a new connection is spared at the cap: its first request is on the way
 LINGER_S = 1.0  # s that a closed connection may go on sending before it is cut off
+LINGER_BYTES = 1024 * 1024  # bytes that are read and dropped in that time: the answer is long out by then
 RETRY_ACCEPT_S = 0.05  # s until the next try when there was no descriptor to give
-FIRST_REQUEST_MS = 1000.0  # ms in which a new connection is not yet idle: its first request is on the way
 UNREAD_ANSWERS = 2 * MAX_BODY  # bytes of answers that a client may leave unread
-SINGLE = frozenset((b"host", b"x-call-id", b"x-budget-ms", b"x-route-hash", b"x-caller", b"idempotency-key"))
 READY_PATH = b"/health/ready"
 
-
-class Bad(Exception):
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
-
-
-class Message(NamedTuple):
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes
-    keep: bool
-    arrived: float
+PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
 class Client(asyncio.Protocol):
@@ -50,13 +41,15 @@
     def __init__(self, frontend: Frontend) -> None:
         self.frontend = frontend
         self.transport: asyncio.Transport
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.queue: deque[Message | Bad] = deque()
         self.request_id: str | None = None  # of the request in the engine's hands
         self.keep = True
         self.closing = False  # nothing more is read
-        self.reading_since: float | None = None  # when the request began that is not here whole
-        self.used, self.served = now_ms(), False
+        self.places: dict[Client, float] | None = None  # where the frontend keeps it, see there
+        self.served, self.bad, self.dropped = False, 0, 0
+        self.rest = b""  # read, not parsed yet
+        self.begun = False  # a request has begun that is not here whole
         self._reset()
 
     def _reset(self) -> None:
@@ -64,16 +57,15 @@
         self._headers: Headers = []
         self._head_done = False
 
-    def idle(self) -> bool:
-        return self.request_id is None and not self.queue and self.reading_since is None and not self.closing
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.frontend.clients[self] = None
+        self.frontend.clients.add(self)
+        self.frontend.put(self, self.frontend.waiting)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closing = True
         self.queue.clear()
+        self.rest, self.parser = b"", None  # it holds this connection in turn: nothing should wait for the GC
         self.frontend.lost(self)
         if self.request_id is not None:
             self.frontend.engine.client_gone(self.request_id)
@@ -81,45 +73,90 @@
 
     def data_received(self, data: bytes) -> None:
         if self.closing:
+            self.dropped += len(data)
+            if self.dropped > LINGER_BYTES:
+                self.transport.abort()
             return
-        if not self._head_done:
-            self._size += len(data)
+        self.rest = self.rest + data if self.rest else data
+        self._go_on()
+
+    def _go_on(self) -> None:
+        """Take requests in turn, and read on while few are waiting."""
+        while not self.closing or self.queue:
+            while self.request_id is None and self.queue:
+                self._handle(self.queue.popleft())
+            if not self.rest or self.closing or len(self.queue) >= PIPELINED:
+                break
+            piece, self.rest = self.rest[:PIECE], self.rest[PIECE:]
+            self._feed(piece)
+        if self.places is self.frontend.ending or self.transport.is_closing():
+            return
+        if self.request_id is not None or self.queue:
+            self.frontend.put(self, None)
+        else:
+            self.frontend.put(
+                self, self.frontend.waiting if self.begun or not self.served else self.frontend.idle
+            )
+        if not self.closing:
+            if len(self.queue) >= PIPELINED or len(self.rest) > PIECE:
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
+
+    def _feed(self, piece: bytes) -> None:
+        assert self.parser is not None
+        self._size += len(piece)
+        before = len(self.queue)
         try:
-            self.parser.feed_data(data)
+            self.parser.feed_data(piece)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            # What comes at once behind a request and can't be one puts that one's length in doubt.
+            if len(self.queue) > before and isinstance(self.queue[-1], Message):
+                self.queue.pop()
             self._bad(400)
-        if not self.closing and not self._head_done and self._size > MAX_HEAD + MAX_BODY:
+        if not self._head_done and self._size > MAX_HEAD:
             self._bad(400)
-        if len(self.queue) >= PIPELINED:
-            self.transport.pause_reading()
-        self._next()
+        elif self._size > MAX_MESSAGE:
+            self._bad(413)
 
     def _bad(self, status: int) -> None:
         """What follows on this connection can't be told apart any more, so it is not read."""
         if not self.closing:
-            self.closing = True
-            self.reading_since = None
+            self.closing, self.rest = True, b""
+            self.begun = False
             self.queue.append(Bad(status))
 
+    def late(self) -> None:
+        """Its time to send a whole request is over."""
+        if self.begun:
+            self._bad(408)
+            self._go_on()
+        else:
+            self.transport.close()
+
     # httptools calls these
 
     def on_message_begin(self) -> None:
-        self.reading_since = now_ms()
+        self.begun = True
 
     def on_url(self, url: bytes) -> None:
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers.append((name.lower(), value))
+        # A trailer must not pass for a header that was checked, nor pile up: it counts by its bytes alone.
+        if not self._head_done:
+            self._headers.append((name.strip().lower(), value))
 
     def on_headers_complete(self) -> None:
         self._head_done = True
+        try:
+            check_framing(self._headers)
+        except Bad as bad:
+            self._bad(bad.status)
+            return
         if sum(len(name) + len(value) for name, value in self._headers) + len(self._target) > MAX_HEAD:
             self._bad(400)
-        lengths = [value for name, value in self._headers if name == b"content-length"]
-        if lengths and int(lengths[0]) > MAX_BODY:
-            self._bad(413)
-        elif (b"expect", b"100-continue") in self._headers and self.request_id is None:
+        elif (b"expect", b"100-continue") in self._headers and self.request_id is None and not self.queue:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -133,65 +170,63 @@
     def on_message_complete(self) -> None:
         if self.closing:
             return
+        assert self.parser is not None
         method, keep = self.parser.get_method(), self.parser.should_keep_alive()
         self.queue.append(Message(method, self._target, self._headers, bytes(self._body), keep, now_ms()))
-        self.reading_since = None
+        self.begun = False
         self._reset()
 
     # Answers
 
-    def _next(self) -> None:
-        while self.request_id is None and self.queue:
-            message = self.queue.popleft()
+    def _handle(self, message: Message | Bad) -> None:
+        try:
             if isinstance(message, Bad):
                 self.keep = False
-                self.write(Answer(message.status))
-                continue
+                raise message
             self.keep = message.keep
-            try:
-                self._handle(message)
-            except Bad as bad:
-                self.write(Answer(bad.status))
-            if len(self.queue) < PIPELINED and not self.closing:
-                self.transport.resume_reading()
+            self._take(message)
+            self.bad = 0
+        except Bad as bad:
+            self.bad += 1
+            if self.bad >= BAD_IN_A_ROW:
+                self.keep = False
+            self.write(Answer(bad.status))
 
-    def _handle(self, message: Message) -> None:
+    def _take(self, message: Message) -> None:
         frontend = self.frontend
-        path = message.target.split(b"?", 1)[0]
-        if path == READY_PATH:
+        if message.target.split(b"?", 1)[0] == READY_PATH:
             if message.method != b"GET":
                 raise Bad(405)
             self.write(Answer(200 if frontend.ready() else 503))
             return
-        taken = frontend.read(message, path, self.answer)
-        self.request_id = taken.id
+        taken = frontend.reader.read(message, self.answer)
         if not frontend.engine.take(taken):
-            self.request_id = None
             raise Bad(400)
+        self.request_id = taken.id
 
     def answer(self, answer: Answer) -> None:
         if self.request_id is not None:
             self.request_id = None
             self.write(answer)
-            self._next()
+            self._go_on()
 
     def write(self, answer: Answer) -> None:
         if self.transport.is_closing():
             return
         # What was sent ahead on this connection is taken too: it closes after the last of it.
-        keep = self.keep and not (self.frontend.stopping and not self.queue)
+        keep = self.keep and not (self.frontend.stopping and not self.queue and not self.rest)
         self.transport.write(
             b"HTTP/1.1 %d %b\r\n%bcontent-length: %d\r\n%b\r\n%b"
             % (
                 answer.status,
-                HTTPStatus(answer.status).phrase.encode(),
+                PHRASES[answer.status],
                 answer.headers,
                 len(answer.body),
                 b"" if keep else b"connection: close\r\n",
                 answer.body,
             )
         )
-        self.used, self.served = now_ms(), True
+        self.served = True
         if not keep:
             self.finish()
         elif self.transport.get_write_buffer_size() > UNREAD_ANSWERS:
@@ -200,18 +235,24 @@
     def finish(self) -> None:
         """Close after what is written. Closed at once with bytes unread, the kernel would reset the
         connection and the client could lose its answer; so the client gets a moment to close first."""
-        self.closing = True
+        self.closing, self.rest = True, b""
         self.queue.clear()
         self.transport.resume_reading()
         self.transport.write_eof()
-        self.frontend.loop.call_later(LINGER_S, self.transport.abort)
+        self.frontend.put(self, self.frontend.ending)
 
 
 class Frontend:
-    def __init__(self, engine: Engine, settings: Settings, wire: Wire, most: int) -> None:
-        self.engine, self.settings, self.wire, self.most = engine, settings, wire, most
+    """Accepts connections within the budget of descriptors. Each that has no request open is in one of
+    three places, with the time since which it is there; the longest there comes first."""
+
+    def __init__(self, engine: Engine, reader: Reader, most: int) -> None:
+        self.engine, self.reader, self.most = engine, reader, most
         self.loop = asyncio.get_running_loop()
-        self.clients: dict[Client, None] = {}  # in the order of their coming
+        self.clients: set[Client] = set()
+        self.waiting: dict[Client, float] = {}  # owe a whole request: new ones, and half-read ones
+        self.idle: dict[Client, float] = {}  # kept between two requests
+        self.ending: dict[Client, float] = {}  # have their last answer, and a moment to read it
         self.held = 0  # descriptors of clients, those just accepted and those just closing included
         self.opening: set[asyncio.Task[object]] = set()
         self.stopping = self.accepting = False
@@ -234,6 +275,15 @@
     def ready(self) -> bool:
         return not self.stopping and self.engine.backends.active() > 0
 
+    def put(self, client: Client, places: dict[Client, float] | None) -> None:
+        if places is self.waiting and client.places is places:
+            return  # its time runs on: a byte now and then must not win it more
+        if client.places is not None:
+            client.places.pop(client, None)
+        client.places = places
+        if places is not None:
+            places[client] = now_ms()
+
     # Accepting, within the budget of descriptors
 
     def _accept_on(self) -> None:
@@ -255,8 +305,8 @@
         assert self.sock is not None
         for _ in range(ACCEPT_AT_ONCE):
             full = self.held >= self.most
-            idle = self._longest_idle() if full else None
-            if full and idle is None:
+            victim = self._victim() if full else None
+            if full and victim is None:
                 self._accept_later()  # the kernel's queue holds those that come
                 return
             try:
@@ -267,14 +317,14 @@
                 log(f"accept: {error}")
                 self._accept_later()
                 return
-            if idle is not None:  # only now that somebody needs its place
-                del self.clients[idle]
-                idle.transport.close()
+            if victim is not None:  # only now that somebody needs its place
+                self.put(victim, None)
+                victim.transport.abort() if victim.closing else victim.transport.close()
             self.held += 1
             task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: Client(self), sock))
             self.opening.add(cast("asyncio.Task[object]", task))
             task.add_done_callback(self._opened)
-            if idle is not None:
+            if victim is not None:
                 return  # its descriptor is free only after this turn
 
     def _opened(self, task: asyncio.Task[object]) -> None:
@@ -283,13 +333,27 @@
             log(f"accept: {task.exception()}")
             self._freed()
 
-    def _longest_idle(self) -> Client | None:
-        fresh = now_ms() - FIRST_REQUEST_MS
-        idle = [c for c in self.clients if c.idle() and (c.served or c.used < fresh)]
-        return min(idle, key=lambda c: c.used, default=None)
+    def _victim(self) -> Client | None:
+        """Whose place a new connection gets: one that has its last answer, then one that may be closed by
+        agreement, then one that has said nothing for a while, and only then one that was of use just now."""
+        now = now_ms()
+        for places, spared_ms in (
+            (self.ending, SPARE_MS),
+            (self.idle, IDLE_FULL_S * 1000),
+            (self.waiting, SPARE_MS),
+            (self.idle, 0.0),
+        ):
+            client = next(iter(places), None)
+            # What the kernel holds already is a request that was sent in time.
+            if client is None or places[client] > now - spared_ms:
+                continue
+            if places is self.ending or not unread(client.transport):
+                return client
+        return None
 
     def lost(self, client: Client) -> None:
-        self.clients.pop(client, None)
+        self.put(client, None)
+        self.clients.discard(client)
         self._freed()
 
     def _freed(self) -> None:
@@ -299,11 +363,24 @@
             self.empty.set()
 
     def _sweep(self) -> None:
-        """A request that never comes in whole must not hold its descriptor for good."""
-        self.sweeper = self.loop.call_later(HALF_READ_S / 4, self._sweep)
-        oldest = now_ms() - HALF_READ_S * 1000
-        for client in [c for c in self.clients if c.reading_since is not None and c.reading_since < oldest]:
+        """Neither who never sends a whole request nor who asked once and stays may hold a place for good."""
+        self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+        for client in self._over(self.waiting, WHOLE_S):
+            client.late()
+        for client in self._over(self.ending, LINGER_S):
             client.transport.abort()
+        for client in self._over(self.idle, IDLE_FULL_S if self.held > self.most / 2 else IDLE_S):
+            if not unread(client.transport):
+                client.transport.close()
+
+    @staticmethod
+    def _over(places: dict[Client, float], limit_s: float) -> list[Client]:
+        oldest, late = now_ms() - limit_s * 1000, []
+        for client, since in places.items():
+            if since > oldest:
+                break
+            late.append(client)
+        return late
 
     # Stopping
 
@@ -317,69 +394,14 @@
         if self.sock is not None:
             self.sock.close()
             self.sock = None
-        for client in [c for c in self.clients if c.idle()]:
-            client.transport.close()
+        for client in [*self.idle, *(client for client in self.waiting if not client.begun)]:
+            if not unread(client.transport):  # else it has just been asked, and answers first
+                client.transport.close()
         if self.held:
             try:
                 async with asyncio.timeout(within_s):
                     await self.empty.wait()
             except TimeoutError:
                 log(f"stop: {self.held} client connections were still open")
-
-    # Reading a request
-
-    def read(self, message: Message, path: bytes, answer: Callable[[Answer], None]) -> Taken:
-        headers = dict(message.headers)
-        # Told twice, the backend could read the other value; HTTP/1.1 asks for one host.
-        names = [name for name, _ in message.headers if name in SINGLE]
-        if len(names) != len(set(names)) or b"host" not in headers:
-            raise Bad(400)
-        cls = self.wire.classes.get(path.split(b"/")[1].decode("latin-1") if path.startswith(b"/") else "")
-        if cls is None:
-            raise Bad(404)
-        spec = self.settings.classes[cls]
-        if message.method != (b"GET" if spec.effect is Effect.SAFE else b"POST"):
-            raise Bad(405)
-        if spec.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
-            raise Bad(400)
-        request_id, budget = headers.get(b"x-call-id", b""), headers.get(b"x-budget-ms", b"")
-        if not 0 < len(request_id) <= 128 or not request_id.isascii():
-            raise Bad(400)
-        if not 0 < len(budget) <= 9 or not budget.isdigit() or int(budget) == 0:
-            raise Bad(400)
-        return Taken(
-            request_id.decode(),
-            cls,
-            self._tenant(headers.get(b"x-caller")),
-            read_key(headers.get(b"x-route-hash")),
-            float(budget) - (now_ms() - message.arrived),  # less what it waited behind others here
-            headers.get(b"x-again") == b"1",
-            b"%b %b HTTP/1.1\r\n%b%b"
-            % (
-                message.method,
-                message.target,
-                end_to_end(message.headers, b"x-budget-ms"),
-                b"content-length: %d\r\n" % len(message.body) if message.method == b"POST" else b"",
-            ),
-            message.body,
-            answer,
-        )
-
-    def _tenant(self, name: bytes | None) -> int:
-        if not self.wire.tenants:
-            return 0
-        tenant = self.wire.tenants.get((name or b"").decode("latin-1"))
-        if tenant is None:
-            raise Bad(400)
-        return tenant
-
-
-def read_key(value: bytes | None) -> int | None:
-    if value is None:
-        return None
-    if not 0 < len(value) <= 16 or not value.isalnum():
-        raise Bad(400)
-    try:
-        return int(value, 16)
-    except ValueError:
-        raise Bad(400) from None
+        if self.sweeper is not None:
+            self.sweeper.cancel()
