Let low levels back in at once after a lone flag, slowly only where it returns; free given-up slots at once

Cause: choice.on_arrival kept level 4 out over RELEASE_AIMS = 4 aims after any flag, also one set by a wait of 14 ms, so servers stood idle; and on_outcome kept the slot of a given-up attempt as long again, though its work stops on close. Conclusion: the detector was right, its release too slow for short spikes; kept.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -26,7 +26,8 @@
 WINDOW_OF_AIM = 0.5  # part of the aim: the detector's window, so a verdict comes while it still helps
 WINDOW_SENDS = 8  # sends a window must hold: fewer say nothing, so a sparse window is stretched
 WAIT_OF_SLACK = 0.08  # part of (aim - usual latency) that the least wait may take before the flag is set
-RELEASE_AIMS = 4.0  # aims after the flag over which level 4 is let in again
+RELEASE_AIMS = (0.5, 4.0)  # aims after the flag over which level 4 is let in again, shortest and longest
+SOON = 0.5  # part of (release + 1) aims after the flag within which one that is back has come back soon
 LEVELS = (0.75, 0.5, 0.25)  # worth relative to the best class: at or above is level 1, 2, 3; below is 4
 OVER_BURST_S = 1.0  # s of quota that a tenant may use at once before it counts as beyond its share
 USAGE_STEP = 0.3  # weight of one second in a tenant's usage: some seconds even out chance
@@ -64,7 +65,7 @@
 FORGET = 0.1  # part of the way back to the usual payoff in a second without outcomes
 OVER_LEAST = 5.0  # least requests of quota that a tenant may use at once: chance must not look like excess
 
-GIVEN_UP = (Result.TIMEOUT, Result.CANCELLED)  # we stopped waiting, though the server may work on
+GIVEN_UP = (Result.TIMEOUT, Result.CANCELLED)  # we stopped waiting
 
 
 class Server:
@@ -154,6 +155,7 @@
         self.queue: deque[Request] = deque()
         self.latency = 0.0  # usual time from send to answer
         self.slice_at, self.last_send, self.flagged_at = 0.0, 0.0, -1e9
+        self.flagged, self.release = False, RELEASE_AIMS[0]
         self.low, self.low_before, self.count = 0.0, 0.0, 0  # least wait in this half window and the last
 
     def note_send(self, now: float, wait: float) -> None:
@@ -163,6 +165,16 @@
         self.count += 1
         self.last_send = now
 
+    def flag(self, now: float, overloaded: bool) -> None:
+        """One flag may be chance, and is soon over. Where it returns at once, clients ask for more than there
+        is: let in as fast as before, they would bring it back again and again."""
+        if overloaded and not self.flagged:
+            soon = now - self.flagged_at < 0.5 * (self.release + 1) * self.aim
+            self.release = min(2 * self.release, RELEASE_AIMS[1]) if soon else RELEASE_AIMS[0]
+        self.flagged = overloaded
+        if overloaded:
+            self.flagged_at = now
+
     def head(self) -> Request | None:
         while self.queue and not self.queue[0].held:
             self.queue.popleft()
@@ -212,7 +224,7 @@
         self.warm_floor: dict[int, float] = {}  # uncrowded latency of a warm server, by kind
         self.warm_rate: dict[int, float] = {}  # answers per second of a warm server, by kind
         self.requests: dict[str, Request] = {}
-        self.due: list[tuple[float, int, Request, Server | None]] = []  # held ones, slots of given-up ones
+        self.due: list[tuple[float, int, Request]] = []  # held ones, by the time at which to look again
         self.outcomes = 1.0  # all outcomes lately, decayed like each server's plays
         self.order, self.retries = 0, RETRY_BURST
         self.beating, self.second_at, self.beat_at = False, 0.0, 0.0
@@ -274,11 +286,10 @@
             if self.sparse:  # its buffer is mostly empty, and few waits are seen: the wait to come counts
                 wait = -self.refill_credit(now) * self.all_latency / self.allow
                 excess = max(excess, wait / endpoint.threshold())
-            if excess > 1:
-                endpoint.flagged_at = now
+            endpoint.flag(now, excess > 1)
             # Level 3 goes in proportion to the wait beyond the flag. Level 4 goes as soon as it is set and
             # comes back by degrees: let in at once, it would fill the servers up to the next flag.
-            cleared = (now - endpoint.flagged_at) / (RELEASE_AIMS * endpoint.aim)
+            cleared = (now - endpoint.flagged_at) / (endpoint.release * endpoint.aim)
             if self.rng.random() < (1 - cleared if level == 4 else excess / 3 - 1):
                 self.refuse(request, endpoint.aim * max(excess - 1, 1))
                 return
@@ -324,12 +335,7 @@
             return
         attempt.open, attempt.maybe_ran = False, event.result not in NEVER_RAN
         request.open -= 1
-        if event.result in GIVEN_UP:
-            # Giving up does not stop the work everywhere: the slot stays taken for as long again, or new
-            # work would pile up unseen behind what was given up.
-            self.at(now + event.delay, request, attempt.server)
-        else:
-            attempt.server.inflight -= 1
+        attempt.server.inflight -= 1  # also of one given up: work stops when its connection closes
         self.out_count -= 1
         self.credit -= event.delay
         self.learn(now, request, attempt.server, event)
@@ -547,15 +553,13 @@
 
     def expire(self, now: float) -> None:
         while self.due and self.due[0][0] <= now:
-            _, _, request, given_up = heappop(self.due)
-            if given_up is not None:
-                given_up.inflight -= 1
-            elif request.held:
+            request = heappop(self.due)[2]
+            if request.held:
                 self.time_up(now, request)
 
-    def at(self, when: float, request: Request, given_up: Server | None = None) -> None:
+    def at(self, when: float, request: Request) -> None:
         self.order += 1
-        heappush(self.due, (when, self.order, request, given_up))
+        heappush(self.due, (when, self.order, request))
 
     def time_up(self, now: float, request: Request) -> None:
         """A held request has reached the end of its use; a late answer, if worth something, is only for
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -330,11 +330,28 @@
     for since in (1.0, 600.0, 1201.0):
         driver = Driver(settings(*classes), *fleet(40))
         driver.balancer.endpoints[0].flagged_at = driver.now
+        driver.balancer.endpoints[0].release = 4.0
         driver.now += since
         refused.append(sum(bool(of(Refuse, driver.last)) for _ in range(40) if driver.arrive(1)))
     assert refused[0] >= 38 and 8 < refused[1] < 32 and refused[2] == 0
 
 
+def test_level_four_comes_back_more_slowly_only_where_the_flag_returns_soon() -> None:
+    # After each short spike it was kept out for four aims, and servers stood idle meanwhile.
+    endpoint = Endpoint(300.0, 1.0)
+
+    def flags(every: float, times: int) -> float:
+        for number in range(times):
+            endpoint.flag(1e6 + number * every, True)
+            endpoint.flag(1e6 + number * every + 1, False)
+        return endpoint.release
+
+    assert flags(200.0, 1) == 0.5
+    assert flags(200.0, 6) == 4.0
+    endpoint.flagged_at = -1e9
+    assert flags(5000.0, 3) == 0.5
+
+
 def test_a_repeat_past_the_aim_of_its_first_try_is_not_sent() -> None:
     for late_worth, sent in ((0.0, False), (0.3, True)):
         driver = Driver(settings(RequestClass(300.0, 1000.0, late_worth=late_worth)), *fleet(2))
