Give up unsent requests before half their wait, let keyed repeats wait for room, let level 4 in beside an empty buffer

Mend: UNSENT_PART bounds the hold; repeats wait in Balancer.bound within their window, for their group alone; a refusal carries the endpoint's release as Retry-After.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -8,6 +8,7 @@
 import resource
 import signal
 import sys
+from dataclasses import replace
 from typing import Any
 
 import orjson
@@ -44,7 +45,8 @@
             raise Malformed(f"{path}: not JSON: {error}") from None
         try:
             info = mapping(raw["settings"], "settings")
-            self.settings: Settings = read_settings(info)
+            # The limit tells what the simulator's clients are given; HTTP has Retry-After for all of them.
+            self.settings: Settings = replace(read_settings(info), retry_after=True)
             self.settings.check()
             self.wire: Wire = read_wire(info)
             self.known: Listing = read_listing(raw["known"], self.wire)
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -27,6 +27,7 @@
 WINDOW_SENDS = 8  # sends a window must hold: fewer say nothing, so a sparse window is stretched
 WAIT_OF_SLACK = 0.08  # part of (aim - usual latency) that the least wait may take before the flag is set
 RELEASE_AIMS = (0.5, 4.0)  # aims after the flag over which level 4 is let in again, shortest and longest
+RELEASE_STRICT = 1.0  # aims: a longer release keeps level 4 out also while nothing waits
 SOON = 0.5  # part of (release + 1) aims after the flag within which one that is back has come back soon
 LEVELS = (0.75, 0.5, 0.25)  # worth relative to the best class: at or above is level 1, 2, 3; below is 4
 OVER_BURST_S = 1.0  # s of quota that a tenant may use at once before it counts as beyond its share
@@ -35,6 +36,9 @@
 BONUS = 0.2  # payoff given to a server with no recent outcomes per root of log total: re-tries the idle
 PLAYS_KEEP = 0.8  # part of a server's outcome count kept each second: a verdict lasts ten seconds at most
 TIE = 0.1  # payoffs closer than this are equal: one outcome moves a payoff by as much
+UNSENT_PART = (
+    0.45  # part of its wait after which a request never sent is refused: its client can still come again
+)
 START_LIMIT = 4.0  # requests of all proxies in flight at a server nothing is known of
 LATENCY_STEP = 1 / 16  # weight of one answer in a server's latency: tails must not steer the limit
 FLOOR_DRIFT = 1 / 400  # pull of one answer on the uncrowded latency: a slow spell is believed in the end
@@ -224,6 +228,7 @@
         self.warm_floor: dict[int, float] = {}  # uncrowded latency of a warm server, by kind
         self.warm_rate: dict[int, float] = {}  # answers per second of a warm server, by kind
         self.requests: dict[str, Request] = {}
+        self.bound: list[Request] = []  # held ones that only one group may see again
         self.due: list[tuple[float, int, Request]] = []  # held ones, by the time at which to look again
         self.outcomes = 1.0  # all outcomes lately, decayed like each server's plays
         self.order, self.retries = 0, RETRY_BURST
@@ -251,6 +256,8 @@
                 self.on_moved(now)
             elif isinstance(event, StreamStarted):
                 self.on_stream(event)
+        if self.bound:
+            self.send_bound(now)
         self.dispatch(now)
         self.expire(now)
         return self.out
@@ -290,8 +297,10 @@
             # Level 3 goes in proportion to the wait beyond the flag. Level 4 goes as soon as it is set and
             # comes back by degrees: let in at once, it would fill the servers up to the next flag.
             cleared = (now - endpoint.flagged_at) / (endpoint.release * endpoint.aim)
-            if self.rng.random() < (1 - cleared if level == 4 else excess / 3 - 1):
-                self.refuse(request, endpoint.aim * max(excess - 1, 1))
+            # After a lone flag it is let in beside an empty buffer: refused there, it leaves servers idle.
+            kept_out = excess > 0 or endpoint.release > RELEASE_STRICT
+            if self.rng.random() < (1 - cleared if level == 4 and kept_out else excess / 3 - 1):
+                self.refuse(request)
                 return
         if min(event.give_up, request.useful) <= now + 2 * self.settings.tick_ms:
             self.end(request)  # its time is over as it comes: no later batch could answer it
@@ -319,6 +328,9 @@
         # latency above the aim, nothing would ever be sent again and the latency never be corrected.
         spare = self.fair_chance(request)
         request.last_call = min(request.useful - spare, request.give_up - BEAT_MS - 2 * self.settings.tick_ms)
+        if not request.attempts:
+            half = request.arrived + UNSENT_PART * (request.give_up - request.arrived)
+            request.last_call = min(request.last_call, half)
         self.at(min(request.last_call, request.aim_end - spare), request)
 
     def fair_chance(self, request: Request) -> float:
@@ -438,23 +450,37 @@
             self.retries -= 1
             self.hold(request, True)
         else:
-            # Only the group that drops its repeats may see it again, and only in time: now or never.
-            group = [s for s in self.active if same_group(spec.scope, s, ran.server)]
+            self.retries -= 1
+            request.held = True
+            self.bound.append(request)
+            usual = min(self.class_latency[request.cls][0], spec.aim_ms / 2)
+            request.last_call = min(request.useful - usual, ran.sent + spec.window_ms - BEAT_MS)
+            self.at(request.last_call, request)
+
+    def send_bound(self, now: float) -> None:
+        """Only the group that drops a keyed request's repeats may see it again, as soon as it has room."""
+        waiting, self.bound = self.bound, []
+        for request in waiting:
+            ran = request.first_run()
+            if not request.held or ran is None:
+                continue
+            group = [s for s in self.active if same_group(request.spec.scope, s, ran.server)]
             group = [s for s in group if s.room(now, self.each)]
-            if group:
-                self.retries -= 1
+            if group and now < request.last_call:
+                request.held = False
                 self.send(now, request, self.pick(request, group))
             else:
-                self.end(request)
+                self.bound.append(request)
 
     def end(self, request: Request) -> None:
         """The final answer for a request that will not be sent again."""
         self.out.append(Fail(request.id))
         self.close(request)
 
-    def refuse(self, request: Request, wait: float) -> None:
-        after = min(max(wait, 0.0), self.settings.max_retry_after_ms) if self.settings.retry_after else 0.0
-        self.out.append(Refuse(request.id, after))
+    def refuse(self, request: Request) -> None:
+        """Low levels are let in again over the endpoint's release: that is when to come back."""
+        wait = min(request.endpoint.release * request.endpoint.aim, self.settings.max_retry_after_ms)
+        self.out.append(Refuse(request.id, wait if self.settings.retry_after else 0.0))
         self.close(request)
 
     def close(self, request: Request) -> None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -161,6 +161,25 @@
     assert [f.request for f in of(Fail, driver.beats(325))] == [held]
 
 
+def test_a_request_never_sent_is_given_up_before_half_its_wait() -> None:
+    # Told later, its client has no time for another try, and nothing was ever done for it.
+    driver = Driver(settings(RequestClass(5000.0, 9000.0), proxies=4), *fleet(1))
+    driver.arrive(wait=1000)
+    held = driver.arrive(wait=1000)
+    assert not of(Fail, driver.beats(400))
+    assert [f.request for f in of(Fail, driver.beats(75))] == [held]
+
+
+def test_level_four_is_let_in_beside_an_empty_buffer_unless_the_flag_keeps_returning() -> None:
+    classes = (RequestClass(300.0, 900.0, worth=12.0), RequestClass(300.0, 900.0, worth=1.0))
+    for release, refused in ((0.5, False), (4.0, True)):
+        driver = Driver(settings(*classes), *fleet(40))
+        driver.balancer.endpoints[0].flagged_at = driver.now
+        driver.balancer.endpoints[0].release = release
+        driver.arrive(1)
+        assert bool(of(Refuse, driver.last)) is refused
+
+
 def test_a_late_answer_is_waited_for_only_without_overload() -> None:
     spec = RequestClass(300.0, 1000.0, late_worth=0.3)
     driver = Driver(settings(spec, proxies=4), *fleet(1))
