Rest connections for 10 ms and look for their end before reuse

Cause: _lend looked for unread bytes alone, and lent a connection 2 ms after its answer, before the close had come. Mend: unread() polls for the end too, REST_MS is 10.

--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -12,8 +12,9 @@
 from flintlatch.net.http1 import Exchange, Response, unread
 
 IDLE_PART = 0.6  # part of the backend's idle limit after which we close first: a late reuse ends as a reset
-# A second answer or noise may come right behind an answer: lent out later than this, the connection shows it.
-REST_MS = 2.0
+# A second answer, noise, or the server's close may come right behind an answer: lent out later than this, the
+# connection shows it. The pool needs a connection or two more for that, not a handshake each time.
+REST_MS = 10.0
 OWN_LACK = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 SWEEPS = 20  # looks at idle connections within that limit
 
--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
-import termios
+import select
 from typing import NamedTuple, cast
 
 import httptools
@@ -26,11 +25,12 @@
 
 
 def unread(transport: asyncio.Transport) -> bool:
-    """Whether the kernel holds bytes of this connection that the loop has not read yet."""
+    """Whether the kernel holds bytes, or the end, of this connection that the loop has not read yet."""
     if transport.is_closing():
         return False  # its descriptor may be another's by now
-    fd = transport.get_extra_info("socket").fileno()
-    return bool(any(fcntl.ioctl(fd, termios.FIONREAD, b"\0\0\0\0")))
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+    return bool(poll.poll(0))
 
 
 class Response(NamedTuple):
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -249,6 +249,22 @@
     run(test())
 
 
+def test_a_connection_whose_end_has_come_is_not_lent() -> None:
+    # The close may still be in the kernel: a request written now would end as a reset, and may have run.
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            await attempts.served(peer)
+            (kept,) = attempts.pool.backends["s"].idle
+            assert kept.transport is not None
+            kept.transport.pause_reading()
+            peer.writers[0].close()
+            while not unread(kept.transport):
+                await asyncio.sleep(0.001)
+            assert await attempts.served(peer) == 2
+
+    run(test())
+
+
 def test_a_connection_rests_before_it_is_lent_again() -> None:
     async def test() -> None:
         async with tries() as (attempts, peer):
