Let a front end serve on listening sockets that others opened and share

Need: a fleet's workers inherit their listening sockets and accept side by side; a front end opened its one socket itself and closed it only with its last connection. Change: sockets are given to `serve_on`, `stop_accepting` lets go of them alone, and `accept_waiting` empties the kernel's queue first where nobody else will. An engine can give its open requests their last answer, and knows the version of its list.

--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -16,9 +16,20 @@
 # connection shows it. The pool needs a connection or two more for that, not a handshake each time.
 REST_MS = 10.0
 OWN_LACK = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
+SPARE_SOCKETS = 40  # descriptors for the program itself, discovery, and those that are just closing
+# Of the other descriptors: clients hold a third of all for requests at most, each in flight once or waiting
+# here, and beside them there are kept and silent ones.
+BACKEND_PART = 0.42
 SWEEPS = 20  # looks at idle connections within that limit
 
 
+def share_out(sockets: int) -> tuple[int, int]:
+    """Of so many descriptors: how many connections to backends there may be, and how many of clients."""
+    sockets -= min(SPARE_SOCKETS, sockets // 4)
+    to_backends = int(sockets * BACKEND_PART)
+    return to_backends, sockets - to_backends
+
+
 class Attempt:
     """One sending of a request, or a probe, to one backend. It ends once, by a call of `done`."""
 
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -108,6 +108,7 @@
         self.requests: dict[str, Held] = {}
         self.known: dict[str, float] = {}  # ids of late, with the time at which they came, oldest first
         self.longest_ms = max(c.deadline_ms for c in settings.classes)
+        self.list_rev = 0  # version of the list held
         self.news: list[ServerList] = []
         self.events: list[Event] = []
         self.ended: list[Held] = []  # to be forgotten once the module has been told of their end
@@ -119,6 +120,7 @@
 
     def on_list(self, listing: Listing, kind: ListKind | None = None) -> None:
         # The pools hear of a drain here and now, before anything else of this turn can be written.
+        self.list_rev = listing.rev
         self.backends.update(listing.targets, listing.whole)
         kind = kind or (ListKind.FULL if listing.whole else ListKind.CHANGES)
         self.news.append(ServerList(kind, tuple(target.info for target in listing.targets)))
@@ -170,6 +172,14 @@
             self._answer(held, Answer(504))
             self._raise(ClientGone(held.taken.id))
 
+    def give_up_all(self) -> None:
+        """The proxy ends: whatever has no answer yet gets its final one now."""
+        for held in list(self.requests.values()):
+            self._deadline(held)
+
+    def open_requests(self) -> int:
+        return sum(not held.over for held in self.requests.values())
+
     def _on_attempt(
         self, held: Held, number: int, attempt: Attempt, result: Result, got: Response | None
     ) -> None:
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -17,6 +17,7 @@
 
 BACKLOG = 512
 ACCEPT_AT_ONCE = 16  # connections a turn: requests on open ones must not wait for a flood of new ones
+ACCEPT_SHARED = 1  # the same where other processes accept on the socket too: one must not take them all
 PIPELINED = 2  # requests read ahead on one connection before it is not read any further
 PIECE = 4096  # bytes parsed before the requests in them are looked at: hundreds sent at once must not be
 MAX_MESSAGE = MAX_HEAD + 4 * MAX_BODY  # bytes of one request as sent, so many for the framing of chunks
@@ -35,6 +36,20 @@
 PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
+def open_listener(address: str) -> socket.socket:
+    """A socket that listens at `host:port`; OSError if the address is not to be had."""
+    host, port = split_address(address)
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 class Client(asyncio.Protocol):
     """One connection. Requests on it are answered one after the other, each once."""
 
@@ -246,8 +261,11 @@
     """Accepts connections within the budget of descriptors. Each that has no request open is in one of
     three places, with the time since which it is there; the longest there comes first."""
 
-    def __init__(self, engine: Engine, reader: Reader, most: int) -> None:
+    def __init__(
+        self, engine: Engine, reader: Reader, most: int, accept_at_once: int = ACCEPT_AT_ONCE
+    ) -> None:
         self.engine, self.reader, self.most = engine, reader, most
+        self.accept_at_once = accept_at_once
         self.loop = asyncio.get_running_loop()
         self.clients: set[Client] = set()
         self.waiting: dict[Client, float] = {}  # owe a whole request: new ones, and half-read ones
@@ -257,18 +275,19 @@
         self.opening: set[asyncio.Task[object]] = set()
         self.stopping = self.accepting = False
         self.empty = asyncio.Event()
-        self.sock: socket.socket | None = None
-        self.address = ""  # where it listens
+        self.socks: list[socket.socket] = []
+        self.address = ""  # where it listens, the first if on several
         self.sweeper: asyncio.TimerHandle | None = None
 
     def listen(self, address: str) -> None:
-        host, port = split_address(address)
-        self.sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind((host, port))
-        self.sock.listen(BACKLOG)
-        self.sock.setblocking(False)
-        self.address = "{}:{}".format(*self.sock.getsockname()[:2])
+        self.serve_on([open_listener(address)])
+
+    def serve_on(self, socks: list[socket.socket]) -> None:
+        """Accept on listening sockets, which are closed by `stop_accepting`."""
+        self.socks = socks
+        for sock in socks:
+            sock.setblocking(False)
+        self.address = "{}:{}".format(*socks[0].getsockname()[:2])
         self._accept_on()
         self._sweep()
 
@@ -287,30 +306,31 @@
     # Accepting, within the budget of descriptors
 
     def _accept_on(self) -> None:
-        if self.sock is not None and not self.accepting:
+        if self.socks and not self.accepting:
             self.accepting = True
-            self.loop.add_reader(self.sock.fileno(), self._accept)
+            for sock in self.socks:
+                self.loop.add_reader(sock.fileno(), self._accept, sock)
 
     def _accept_off(self) -> None:
-        if self.sock is not None and self.accepting:
+        if self.accepting:
             self.accepting = False
-            self.loop.remove_reader(self.sock.fileno())
+            for sock in self.socks:
+                self.loop.remove_reader(sock.fileno())
 
     def _accept_later(self) -> None:
         """There is no room; a client that goes makes some, and so does one that is idle by then."""
         self._accept_off()
         self.loop.call_later(RETRY_ACCEPT_S, self._accept_on)
 
-    def _accept(self) -> None:
-        assert self.sock is not None
-        for _ in range(ACCEPT_AT_ONCE):
+    def _accept(self, listener: socket.socket) -> None:
+        for _ in range(self.accept_at_once):
             full = self.held >= self.most
             victim = self._victim() if full else None
             if full and victim is None:
                 self._accept_later()  # the kernel's queue holds those that come
                 return
             try:
-                sock, _ = self.sock.accept()
+                sock, _ = listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
@@ -388,12 +408,25 @@
         """Unready from now on. Connections are accepted and served still, and closed after each answer."""
         self.stopping = True
 
+    def accept_waiting(self) -> None:
+        """Take all connections that wait in the kernel's queue, whatever the share of one turn; no more than
+        there is room for."""
+        for listener in self.socks:
+            while self.held < self.most:
+                held = self.held
+                self._accept(listener)
+                if self.held == held:
+                    break
+
+    def stop_accepting(self) -> None:
+        self._accept_off()
+        for sock in self.socks:
+            sock.close()
+        self.socks = []
+
     async def finish(self, within_s: float) -> None:
         """Accept no more, close between requests, and wait until nothing is open."""
-        self._accept_off()
-        if self.sock is not None:
-            self.sock.close()
-            self.sock = None
+        self.stop_accepting()
         for client in [*self.idle, *(client for client in self.waiting if not client.begun)]:
             if not unread(client.transport):  # else it has just been asked, and answers first
                 client.transport.close()
