Run many instances as one fleet, with a checked configuration and a command line

Need: the proxy could be started only by the platform, one process from one JSON file; operators run several, and want one daemon that reloads and stops without dropping what it has taken. Change: config/ reads deploy/fleet.toml and reports every problem at once; fleet/ has a supervisor whose decisions (core.py) do no I/O, and workers that inherit the listening sockets; a command line with fleet, check, status, reload, upgrade, stop, demo and standin; standin/ has a node, a registry, clients, a service manager and a ledger of the four rules.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -1,4 +1,7 @@
-"""One proxy on real sockets: reads its configuration, wires the parts, obeys SIGHUP and SIGTERM."""
+"""One proxy on real sockets: reads its configuration, wires the parts, obeys SIGHUP and SIGTERM.
+
+With arguments it is the command line instead, see cli.py.
+"""
 
 from __future__ import annotations
 
@@ -15,6 +18,7 @@
 import uvloop
 
 from flintlatch.api import ListKind, Settings
+from flintlatch.net.backends import share_out
 from flintlatch.net.discovery import Discovery, Listing, read_listing
 from flintlatch.net.engine import Engine, log
 from flintlatch.net.frontend import Frontend
@@ -23,10 +27,6 @@
 from flintlatch.settings import Malformed, Wire, mapping, read_settings, read_wire, text, whole
 
 ACCEPT_ON_S = 0.55  # s after SIGTERM in which connections still come, and a little more for a busy machine
-SPARE_SOCKETS = 40  # descriptors for the program itself, discovery, and those that are just closing
-# Of the other descriptors: clients hold a third of all for requests at most, each in flight once or waiting
-# here, and beside them there are kept and silent ones.
-BACKEND_PART = 0.42
 
 
 class Config:
@@ -66,15 +66,13 @@
 
 def start(config: Config) -> tuple[Engine, Frontend]:
     """Wire the parts; from here on clients are served."""
-    sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-    sockets -= min(SPARE_SOCKETS, sockets // 4)
-    to_backends = int(sockets * BACKEND_PART)
+    to_backends, to_clients = share_out(min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]))
     engine = Engine(config.settings, config.wire, config.seed, to_backends)
     engine.discovery = Discovery(
         config.discovery, config.wire, config.known.rev, engine.on_list, engine.on_list_failure
     )
     engine.on_list(config.known, ListKind.SAVED)
-    frontend = Frontend(engine, Reader(config.settings, config.wire), sockets - to_backends)
+    frontend = Frontend(engine, Reader(config.settings, config.wire), to_clients)
     frontend.listen(config.listen)
     return engine, frontend
 
@@ -118,6 +116,10 @@
 
 
 def main() -> int:
+    if len(sys.argv) > 1:  # the platform gives no argument, and must not pay for the rest
+        from flintlatch.cli import main as command_line
+
+        return command_line(sys.argv[1:])
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop has its handler: the file is read below
     try:
         config = Config(dict(os.environ))
--- /dev/null
+++ b/flintlatch/cli.py
@@ -0,0 +1,167 @@
+"""The command line: `flintlatch COMMAND ...`. Each command imports what it needs when it runs."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sys
+from typing import Any
+
+EPILOG = """\
+A first look:       flintlatch demo
+A fleet of yours:   write fleet.toml (deploy/fleet.toml is an example), then
+                    flintlatch check fleet.toml && flintlatch fleet fleet.toml
+Ask a running one:  flintlatch status fleet.toml
+"""
+
+
+def parser() -> argparse.ArgumentParser:
+    top = argparse.ArgumentParser(
+        prog="flintlatch",
+        description="A load-balancing HTTP proxy that runs as a fleet of instances on one machine.",
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    commands = top.add_subparsers(dest="command", required=True, metavar="COMMAND")
+
+    def command(name: str, text: str) -> argparse.ArgumentParser:
+        return commands.add_parser(name, help=text, description=text[0].upper() + text[1:] + ".")
+
+    def with_config(name: str, text: str) -> argparse.ArgumentParser:
+        added = command(name, text)
+        added.add_argument("config", metavar="CONFIG", help="the fleet's configuration, a TOML file")
+        return added
+
+    with_config("fleet", "run a fleet in the foreground; HUP reloads, TERM drains, USR2 upgrades in place")
+    with_config("check", "check a configuration and report every problem in it; exit code 2 if there is one")
+    status = with_config("status", "show a running fleet: generations, instances, last reload")
+    status.add_argument("--json", action="store_true", help="print the answer of the control socket as it is")
+    with_config("reload", "have a running fleet read its configuration again, and wait for the result")
+    with_config("upgrade", "have a running fleet start the program anew on the same sockets, then drain")
+    with_config("stop", "have a running fleet drain and end; once more hurries it")
+    demo = command("demo", "run stand-in nodes and a fleet on loopback, through a reload and a node's death")
+    demo.add_argument("--seed", type=int, default=1, help="of the traffic (default: %(default)s)")
+    demo.add_argument("--seconds", type=float, default=12.0, help="of traffic (default: %(default)s)")
+    demo.add_argument("--instances", type=int, default=4, help="of the fleet (default: %(default)s)")
+    standin = command("standin", "run one stand-in peer by itself, to try things by hand")
+    parts = standin.add_subparsers(dest="part", required=True, metavar="PART")
+    node = parts.add_parser("node", help="a node with a capacity, a queue and a cold start")
+    node.add_argument("--listen", default="127.0.0.1:9001", help="host:port (default: %(default)s)")
+    node.add_argument("--uid", default="s1", help="(default: %(default)s)")
+    node.add_argument("--slots", type=int, default=8, help="requests at work at once (default: %(default)s)")
+    node.add_argument("--work-ms", type=float, default=20.0, help="of one request (default: %(default)s)")
+    node.add_argument("--seed", type=int, default=1)
+    registry = parts.add_parser("registry", help="a registry that lists the given nodes")
+    registry.add_argument("--listen", default="127.0.0.1:8500", help="host:port (default: %(default)s)")
+    registry.add_argument("nodes", nargs="+", metavar="UID=HOST:PORT")
+    client = parts.add_parser(
+        "client", help="mixed traffic for the classes of deploy/fleet.toml, with a ledger"
+    )
+    client.add_argument("address", metavar="HOST:PORT")
+    client.add_argument("--rate", type=float, default=100.0, help="requests a second (default: %(default)s)")
+    client.add_argument("--seconds", type=float, default=10.0, help="(default: %(default)s)")
+    client.add_argument("--seed", type=int, default=1)
+    return top
+
+
+def check(path: str) -> int:
+    from flintlatch.config import Unusable, load
+
+    try:
+        config = load(path)
+    except Unusable as error:
+        print(error, file=sys.stderr)
+        count = len(error.problems)
+        print(f"{path}: {count} problem{'s' * (count > 1)}", file=sys.stderr)
+        return 2
+    source = (
+        config.nodes.registry if config.nodes.source == "registry" else f"{len(config.nodes.static)} named"
+    )
+    print(f"{path}: good: {config.fleet.instances} instances, {len(config.classes)} classes, nodes: {source}")
+    return 0
+
+
+def ask(path: str, request: dict[str, Any], timeout_s: float = 30.0) -> dict[str, Any] | None:
+    """The running fleet's answer; None, after a line that says why, if there is none."""
+    from flintlatch.config import Unusable, load
+    from flintlatch.fleet.control import Taken
+    from flintlatch.fleet.control import ask as ask_fleet
+
+    try:
+        return ask_fleet(load(path).control_path, request, timeout_s)
+    except (Unusable, Taken) as error:
+        print(error, file=sys.stderr)
+        return None
+
+
+def command_running(command: str, path: str) -> int:
+    # A reload waits for the nodes' list and for the new generation, each within its limit.
+    answer = ask(path, {"do": command}, 1300.0)
+    if answer is None:
+        return 1
+    if not answer["ok"]:
+        print(f"{command}: {answer['reason']}", file=sys.stderr)
+        return 1
+    print({"reload": f"serving generation {answer.get('generation')}", "stop": "draining",
+           "upgrade": f"process {answer.get('pid')} has taken over"}[command])  # fmt: skip
+    return 0
+
+
+def status(path: str, as_json: bool) -> int:
+    answer = ask(path, {"do": "status"})
+    if answer is None:
+        return 1
+    if as_json:
+        print(json.dumps(answer, indent=2))
+        return 0
+    print(f"{answer['name']} (pid {answer['pid']}), {answer['phase']}: {answer['summary']}")
+    print(f"listens on {', '.join(answer['listen'])}; was ready after {answer['ready_after_s']} s")
+    if last := answer["last_reload"]:
+        print(f"last reload: {'good' if last['ok'] else last['reason']}, took {last['took_s']} s")
+    for generation in answer["generations"]:
+        nodes = generation["nodes"]
+        late = f" ({nodes['failure']})" if nodes.get("failure") else ""
+        known = (
+            f"{nodes.get('count')} nodes, version {nodes.get('rev')}, heard {nodes.get('age_s')} s ago{late}"
+        )
+        print(f"generation {generation['generation']}: {generation['state']}; {known}")
+        for slot in generation["slots"]:
+            if slot["state"] != "running" or slot["restarts"]:
+                told = f"{slot['restarts']} restarts, last crash: {slot['last_crash'] or 'none'}"
+                print(f"  instance {slot['number']}: {slot['state']}, {told}")
+    row = "{:>6} {:>10} {:>8} {:>8} {:<9} {:>7} {:>9} {:>8} {:>7}"
+    print(
+        row.format("worker", "generation", "instance", "pid", "state", "age s", "in flight", "clients", "MB")
+    )
+    keys = ("worker", "generation", "number", "pid", "state", "age_s", "in_flight", "clients", "rss_mb")
+    for one in answer["instances"]:
+        print(row.format(*("-" if one[key] is None else one[key] for key in keys)))
+    for line in answer["news"]:
+        print(line)
+    return 0
+
+
+def main(arguments: list[str] | None = None) -> int:
+    args = parser().parse_args(arguments)
+    if args.command == "fleet":
+        from flintlatch.fleet.supervisor import run
+
+        return run(args.config, os.environ)
+    if args.command == "check":
+        return check(args.config)
+    if args.command == "status":
+        return status(args.config, args.json)
+    if args.command in ("reload", "upgrade", "stop"):
+        return command_running(args.command, args.config)
+    if args.command == "demo":
+        from flintlatch.standin.demo import run as run_demo
+
+        return run_demo(args.seed, args.seconds, args.instances)
+    from flintlatch.standin.alone import run as run_alone
+
+    return run_alone(args)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/flintlatch/config/__init__.py
@@ -0,0 +1,148 @@
+"""The product's configuration: a TOML file, one checked table for each subsystem. Reads, decides nothing.
+
+`load` gives a `Config` or raises `Unusable` with every problem of the file at once.
+"""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+
+from flintlatch.api import Settings
+from flintlatch.config.reader import Problem, Reader, Unusable
+from flintlatch.config.tables import (
+    ClassRow,
+    DrainTable,
+    FleetTable,
+    LimitsTable,
+    NodesTable,
+    StartTable,
+    TenantRow,
+    read_class,
+    read_drain,
+    read_fleet,
+    read_limits,
+    read_nodes,
+    read_start,
+    read_tenant,
+    unique,
+)
+from flintlatch.settings import Wire
+
+__all__ = ["Config", "Problem", "Unusable", "load", "parse", "read_file"]
+
+MOST_BYTES = 4 * 1024 * 1024  # of a file: tens of thousands of static nodes; more is not a configuration
+DRAIN_SPARE_S = 1.0  # s of a drain beyond the idle time and the longest deadline, for the end itself
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """A whole configuration, checked. `text` and `path` are what it was read from."""
+
+    path: str
+    text: str
+    fleet: FleetTable
+    limits: LimitsTable
+    start: StartTable
+    drain: DrainTable
+    nodes: NodesTable
+    classes: tuple[ClassRow, ...]
+    tenants: tuple[TenantRow, ...]
+
+    @property
+    def control_path(self) -> str:
+        return os.path.join(os.path.dirname(os.path.abspath(self.path)), self.fleet.control)
+
+    def settings(self, number: int) -> Settings:
+        """The decision module's settings for instance `number` of `fleet.instances`, counted from 0.
+
+        The list is pushed to it, so it never asks; RFC 9110 section 10.2.3 gives Retry-After to all."""
+        nodes = self.nodes
+        return Settings(
+            classes=tuple(row.spec for row in self.classes),
+            proxies=self.fleet.instances,
+            me=number,
+            zone=nodes.zones.index(nodes.zone),
+            zones=1,
+            quotas=tuple(row.quota_per_s for row in self.tenants),
+            ask_for_list=False,
+            may_cancel=nodes.may_cancel,
+            retry_after=True,
+            max_retry_after_ms=nodes.max_retry_after_ms,
+            most_attempts=nodes.attempts,
+            start_capacity=nodes.start_capacity,
+            cold_ms=nodes.cold_ms,
+            fall_multiple=nodes.fall_multiple,
+            fall_ms=nodes.fall_ms,
+        )
+
+    def wire(self) -> Wire:
+        """The names on the sockets; new ones among the nodes get the next numbers."""
+        return Wire(
+            classes={row.name: place for place, row in enumerate(self.classes)},
+            tenants={row.name: place for place, row in enumerate(self.tenants)},
+            zones={name: place for place, name in enumerate(self.nodes.zones)},
+            kinds={name: place for place, name in enumerate(self.nodes.kinds)},
+            connect_timeout_ms=self.nodes.connect_timeout_ms,
+            conn_idle_ms=self.nodes.idle_ms,
+        )
+
+
+def read_file(path: str) -> str:
+    """The text at `path`; Unusable if it can't be read."""
+    try:
+        with open(path, "rb") as file:
+            raw = file.read(MOST_BYTES + 1)
+    except OSError as error:
+        raise Unusable(
+            [Problem(path, "file", error.strerror or str(error), "a file that can be read")]
+        ) from None
+    if len(raw) > MOST_BYTES:
+        raise Unusable([Problem(path, "file", "a larger one", f"at most {MOST_BYTES} bytes")])
+    try:
+        return raw.decode()
+    except UnicodeDecodeError as error:
+        raise Unusable(
+            [Problem(path, "file", f"byte {error.start} that is no UTF-8", "UTF-8 text")]
+        ) from None
+
+
+def parse(text: str, path: str) -> Config:
+    """A configuration from its text; `path` names it in problems and is where relative paths start."""
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise Unusable([Problem(path, "file", str(error), "TOML (https://toml.io, version 1.0)")]) from None
+    problems: list[Problem] = []
+    top = Reader(path, "", raw, problems)
+    config = Config(
+        path=path,
+        text=text,
+        fleet=read_fleet(top.sub("fleet")),
+        limits=read_limits(top.sub("limits")),
+        start=read_start(top.sub("start")),
+        drain=read_drain(top.sub("drain")),
+        nodes=read_nodes(top.sub("nodes")),
+        classes=tuple(map(read_class, top.subs("class", least=1))),
+        tenants=tuple(map(read_tenant, top.subs("tenant"))),
+    )
+    unique(top, "class.name", [row.name for row in config.classes])
+    unique(top, "tenant.name", [row.name for row in config.tenants])
+    top.done()
+    if not any(row.spec.worth > 0 for row in config.classes):
+        top.problem("class.worth", "0 in every class", "a class that is worth something")
+    longest = max((row.spec.deadline_ms for row in config.classes), default=0) / 1000
+    least = config.drain.idle_s + longest + DRAIN_SPARE_S
+    if config.drain.limit_s < least:
+        expected = f"at least {least:g}: idle_s, the longest deadline and {DRAIN_SPARE_S:g} s to end in"
+        top.problem("drain.limit_s", f"{config.drain.limit_s:g}", expected)
+    if problems:
+        raise Unusable(problems)
+    return config
+
+
+def load(path: str | Path) -> Config:
+    """Read and check the file at `path`."""
+    return parse(read_file(str(path)), str(path))
--- /dev/null
+++ b/flintlatch/config/tables.py
@@ -0,0 +1,254 @@
+"""The tables of the fleet's configuration, each with its own reader. A subsystem that comes adds one more."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from flintlatch.api import Effect, RequestClass, Scope
+from flintlatch.config.reader import Reader, address
+
+MOST_INSTANCES = 256  # processes on one machine: far beyond its cores, and far below its process table
+CONTROL_PATH_MOST = 100  # bytes: a Unix socket's path holds 108, less the suffix it is first made under
+DAY_S = 86400.0
+
+
+@dataclass(frozen=True, slots=True)
+class FleetTable:
+    """[fleet]: who runs, and where it is reached."""
+
+    name: str
+    instances: int
+    listen: tuple[str, ...]  # host:port; port 0 takes a free one
+    control: str  # path of the control socket, as written; relative to the file's folder
+    log_level: str
+
+
+@dataclass(frozen=True, slots=True)
+class LimitsTable:
+    """[limits]: of one instance."""
+
+    sockets: int  # descriptors
+    memory_mb: float  # resident; an instance above it is replaced by a new one and drains
+    cores: float
+
+
+@dataclass(frozen=True, slots=True)
+class StartTable:
+    """[start]: how instances come up, and when one is given up on. Seconds."""
+
+    ready_s: float  # a generation that is not ready after this has failed
+    restart_first_s: float  # wait before the first restart after a crash; doubled with each, jittered
+    restart_most_s: float
+    stable_s: float  # an instance that served for so long is no part of a crash loop
+    give_up_after: int  # crashes in a row
+    watchdog_s: float  # without a sign of life for so long an instance hangs
+    bind_wait_s: float  # how long to wait for an address that a predecessor still holds
+
+
+@dataclass(frozen=True, slots=True)
+class DrainTable:
+    """[drain]: how instances end. Seconds."""
+
+    limit_s: float  # from being told to drain to the end of the process
+    idle_s: float  # kept connections stay open for so long, each answer then closing one
+    hurry_s: float  # the limit after a second TERM or INT
+
+
+@dataclass(frozen=True, slots=True)
+class StaticNode:
+    uid: str
+    address: str
+    zone: str
+    kind: str
+    cell: int
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class NodesTable:
+    """[nodes]: where the list comes from, and the rules that hold for every node."""
+
+    source: str  # "registry" or "static"
+    registry: str  # host:port
+    static: tuple[StaticNode, ...]
+    zones: tuple[str, ...]
+    zone: str  # the fleet's own
+    kinds: tuple[str, ...]
+    connect_timeout_ms: float
+    idle_ms: float  # a node closes an idle connection no sooner than this
+    cold_ms: float
+    start_capacity: float
+    fall_multiple: float
+    fall_ms: float
+    attempts: int
+    may_cancel: bool
+    max_retry_after_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClassRow:
+    name: str
+    spec: RequestClass
+
+
+@dataclass(frozen=True, slots=True)
+class TenantRow:
+    name: str
+    quota_per_s: float
+
+
+def read_fleet(reader: Reader) -> FleetTable:
+    listen = reader.items("listen", 'addresses such as ["127.0.0.1:8080"], at least one', least=1)
+    addresses = tuple(address(reader, f"listen[{n}]", value) for n, value in enumerate(listen))
+    fixed = [a for a in addresses if not a.endswith(":0")]
+    for twice in sorted({a for a in fixed if fixed.count(a) > 1}):
+        reader.problem("listen", repr(twice), "each address once")
+    control = reader.text("control", "flintlatch.sock", "the path of a socket to be made")
+    if len(control.encode()) > CONTROL_PATH_MOST:
+        reader.problem("control", f"{len(control.encode())} bytes", f"a path of at most {CONTROL_PATH_MOST}")
+    table = FleetTable(
+        name=reader.name("name"),
+        instances=reader.whole("instances", 1, MOST_INSTANCES, 1),
+        listen=addresses,
+        control=control,
+        log_level=reader.choice("log_level", ("error", "warning", "info", "debug"), "info"),
+    )
+    reader.done()
+    return table
+
+
+def read_limits(reader: Reader) -> LimitsTable:
+    table = LimitsTable(
+        sockets=reader.whole("sockets", 64, 1_000_000, 1024),
+        memory_mb=reader.number("memory_mb", 32, 1_000_000, 512),
+        cores=reader.number("cores", 0.1, 1024, 1.0),
+    )
+    reader.done()
+    return table
+
+
+def read_start(reader: Reader) -> StartTable:
+    table = StartTable(
+        ready_s=reader.number("ready_s", 0.5, 600, 30),
+        restart_first_s=reader.number("restart_first_s", 0.01, 60, 0.2),
+        restart_most_s=reader.number("restart_most_s", 0.01, 600, 10),
+        stable_s=reader.number("stable_s", 0.1, 3600, 10),
+        give_up_after=reader.whole("give_up_after", 1, 1000, 6),
+        watchdog_s=reader.number("watchdog_s", 0.5, 600, 5),
+        bind_wait_s=reader.number("bind_wait_s", 0, 60, 5),
+    )
+    if table.restart_most_s < table.restart_first_s:
+        reader.problem("restart_most_s", f"{table.restart_most_s:g}", "at least restart_first_s")
+    reader.done()
+    return table
+
+
+def read_drain(reader: Reader) -> DrainTable:
+    table = DrainTable(
+        limit_s=reader.number("limit_s", 0.1, DAY_S, 30),
+        idle_s=reader.number("idle_s", 0, 60, 1),
+        hurry_s=reader.number("hurry_s", 0.05, 60, 1),
+    )
+    reader.done()
+    return table
+
+
+def read_static_node(reader: Reader) -> StaticNode:
+    host = (
+        address(reader, "address", reader.text("address"), "127.0.0.1:1") if "address" in reader.table else ""
+    )
+    if not host:
+        reader.text("address", None, 'an address such as "127.0.0.1:9001"')
+    elif host.endswith(":0"):
+        reader.problem("address", repr(host), "a port from 1 to 65535")
+    node = StaticNode(
+        uid=reader.name("uid"),
+        address=host,
+        zone=reader.name("zone", "default"),
+        kind=reader.name("kind", "default"),
+        cell=reader.whole("cell", 0, 1_000_000, 0),
+        weight=reader.number("weight", 0.01, 1e6, 1.0),
+    )
+    reader.done()
+    return node
+
+
+def unique(reader: Reader, what: str, values: list[str]) -> None:
+    for value in sorted({v for v in values if v and values.count(v) > 1}):
+        reader.problem(what, repr(value), f"each {what.rpartition('.')[2]} once")
+
+
+def read_nodes(reader: Reader) -> NodesTable:
+    source = reader.choice("source", ("registry", "static"))
+    registry = ""
+    static: tuple[StaticNode, ...] = ()
+    if source == "registry" or "registry" in reader.table:
+        registry = reader.text("registry", None, "the registry's address")
+        registry = address(reader, "registry", registry) if registry else ""
+    if source == "static" or "static" in reader.table:
+        static = tuple(map(read_static_node, reader.subs("static", least=1)))
+        unique(reader, "static.uid", [node.uid for node in static])
+        unique(reader, "static.address", [node.address for node in static])
+    if registry and static:
+        reader.problem(
+            "static", f"{len(static)} nodes", f'none of "registry" and "static" but source = "{source}"'
+        )
+    names = reader.items("zones", "a list of names")
+    kinds = reader.items("kinds", "a list of names")
+    for key, values in (("zones", names), ("kinds", kinds)):
+        for place, value in enumerate(values):
+            if not isinstance(value, str) or not value:
+                reader.problem(f"{key}[{place}]", repr(value), "a name")
+    zones = tuple(z for z in names if isinstance(z, str)) or ("default",)
+    table = NodesTable(
+        source=source,
+        registry=registry,
+        static=static,
+        zones=zones,
+        zone=reader.choice("zone", zones, zones[0]),
+        kinds=tuple(k for k in kinds if isinstance(k, str)) or ("default",),
+        connect_timeout_ms=reader.number("connect_timeout_ms", 1, 60_000, 250),
+        idle_ms=reader.number("idle_ms", 100, 3_600_000, 15_000),
+        cold_ms=reader.number("cold_ms", 0, 3_600_000, 0),
+        start_capacity=reader.number("start_capacity", 0.01, 1, 1),
+        fall_multiple=reader.number("fall_multiple", 0.1, 100, 2),
+        fall_ms=reader.number("fall_ms", 1, 600_000, 1000),
+        attempts=reader.whole("attempts", 1, 100, 3),
+        may_cancel=reader.flag("may_cancel", True),
+        max_retry_after_ms=reader.number("max_retry_after_ms", 0, 3_600_000, 1000),
+    )
+    reader.done()
+    return table
+
+
+def read_class(reader: Reader) -> ClassRow:
+    effect = Effect(reader.choice("effect", ("safe", "keyed", "unsafe"), "unsafe"))
+    window = reader.number("window_ms", 0, 86_400_000, 0)
+    if effect is Effect.KEYED and not window:
+        reader.problem(
+            "window_ms", "0" if "window_ms" in reader.table else "", "how long nodes remember a key"
+        )
+    if effect is not Effect.KEYED and ("window_ms" in reader.table or "scope" in reader.table):
+        reader.problem("effect", f'"{effect.value}"', '"keyed" where window_ms or scope is set')
+    row = ClassRow(
+        reader.name("name"),
+        RequestClass(
+            aim_ms=reader.number("aim_ms", 0.1, 600_000),
+            deadline_ms=reader.number("deadline_ms", 0.1, 600_000),
+            effect=effect,
+            scope=Scope(reader.choice("scope", ("all", "zone", "cell"), "all")),
+            window_ms=window,
+            worth=reader.number("worth", 0, 1e9, 1),
+            late_worth=reader.number("late_worth", 0, 1, 0),
+        ),
+    )
+    if row.spec.deadline_ms < row.spec.aim_ms:
+        reader.problem("deadline_ms", f"{row.spec.deadline_ms:g}", f"at least aim_ms, {row.spec.aim_ms:g}")
+    reader.done()
+    return row
+
+
+def read_tenant(reader: Reader) -> TenantRow:
+    row = TenantRow(reader.name("name"), reader.number("quota_per_s", 0, 1e9))
+    reader.done()
+    return row
--- /dev/null
+++ b/flintlatch/fleet/nodes.py
@@ -0,0 +1,113 @@
+"""Where a generation's nodes come from: one watch for the whole fleet, handed on to every worker."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from flintlatch.api import ServerInfo, ServerState
+from flintlatch.config import Config
+from flintlatch.net.clock import now_ms
+from flintlatch.net.discovery import STATES, Discovery, Listing, Target
+from flintlatch.net.http1 import split_address
+
+RETRY_S = (0.1, 2.0)  # s until a failed call to the registry is made again, first and longest: doubled
+STATE_NAMES = {state: name for name, state in STATES.items()}
+
+
+def described(listing: Listing) -> dict[str, Any]:
+    """A list in the registry's own form, with numbers for zones and kinds, as `read_listing` takes it."""
+    return {
+        "rev": listing.rev,
+        "all": listing.whole,
+        "targets": [
+            {
+                "uid": target.uid,
+                "endpoint": f"[{target.host}]:{target.port}"
+                if ":" in target.host
+                else f"{target.host}:{target.port}",
+                "az": target.info.zone,
+                "model": target.info.kind,
+                "pod_group": target.info.cell,
+                "state": STATE_NAMES[target.info.state],
+                "capacity_hint": target.info.weight,
+                "boot_ms": target.info.started or 0,
+            }
+            for target in listing.targets
+        ],
+    }
+
+
+def fixed(config: Config) -> Listing:
+    """The list that the configuration names itself."""
+    wire, targets = config.wire(), []
+    for node in config.nodes.static:
+        host, port = split_address(node.address)
+        zone = wire.zones.setdefault(node.zone, len(wire.zones))
+        kind = wire.kinds.setdefault(node.kind, len(wire.kinds))
+        info = ServerInfo(node.uid, ServerState.ACTIVE, zone, kind, node.cell, None, node.weight)
+        targets.append(Target(node.uid, host, port, info))
+    return Listing(1, True, tuple(targets))
+
+
+class Nodes:
+    """`on_news` is called with each list or change that comes after the first; `first` waits for that."""
+
+    def __init__(
+        self, config: Config, on_news: Callable[[Nodes, Listing], None], log: Callable[[str, str], None]
+    ) -> None:
+        self.on_news, self.log = on_news, log
+        self.targets: dict[str, Target] = {}
+        self.rev, self.heard_ms, self.failure = 0, 0.0, ""
+        self.come = asyncio.Event()
+        self.retry: asyncio.TimerHandle | None = None
+        self.wait_s = RETRY_S[0]
+        self.discovery: Discovery | None = None
+        if config.nodes.source == "static":
+            self._take(fixed(config))
+        else:
+            registry = config.nodes.registry
+            self.discovery = Discovery(registry, config.wire(), None, self._take, self._failed)
+            self.discovery.watch()
+
+    async def first(self) -> None:
+        await self.come.wait()
+
+    def whole(self) -> Listing:
+        return Listing(self.rev, True, tuple(self.targets.values()))
+
+    def _take(self, news: Listing) -> None:
+        if news.whole:
+            self.targets = {}
+        for target in news.targets:
+            if target.info.state is ServerState.GONE:
+                self.targets.pop(target.uid, None)
+            else:
+                self.targets[target.uid] = target
+        if self.failure:
+            self.log("info", f"registry: answers again, version {news.rev}")
+        self.rev, self.heard_ms, self.failure, self.wait_s = news.rev, now_ms(), "", RETRY_S[0]
+        if self.come.is_set():
+            if news.whole or news.targets:
+                self.on_news(self, news)
+        else:
+            self.come.set()
+
+    def _failed(self, reason: str) -> None:
+        if not self.failure:
+            self.log("warning", f"registry: {reason}; the list held stands")
+        self.failure = reason
+        assert self.discovery is not None
+        self.retry = asyncio.get_running_loop().call_later(self.wait_s, self._again)
+        self.wait_s = min(2 * self.wait_s, RETRY_S[1])
+
+    def _again(self) -> None:
+        assert self.discovery is not None
+        self.discovery.watch()
+
+    def close(self) -> None:
+        if self.retry is not None:
+            self.retry.cancel()
+        if self.discovery is not None:
+            self.discovery.close()
--- /dev/null
+++ b/flintlatch/fleet/worker.py
@@ -0,0 +1,220 @@
+"""One instance of the proxy, as a supervisor starts it: `python -m flintlatch.fleet.worker FD`.
+
+FD is its end of the channel. It is told by `hello` what it is, says `ready` once it holds a list with a
+node that takes requests, accepts from `accept` on, and ends after `drain`, or when its supervisor is gone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import resource
+import signal
+import socket
+import sys
+import threading
+import time
+from typing import Any
+
+import uvloop
+
+from flintlatch.config import Config, Unusable, parse
+from flintlatch.fleet.channel import Channel, Message, open_channel
+from flintlatch.net.backends import share_out
+from flintlatch.net.discovery import read_listing
+from flintlatch.net.engine import Engine, log
+from flintlatch.net.frontend import ACCEPT_SHARED, Frontend
+from flintlatch.net.request import Reader
+from flintlatch.settings import Malformed
+
+BEATS = 5  # signs of life within the watchdog's time: one that comes late must not count as silence
+LAST_WORDS_S = 0.3  # s for the answers written at the limit to leave
+PARENT_LOOK_S = 0.5  # s between looks at whether the supervisor still lives, should the loop hang
+PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def resident_mb() -> float:
+    with open("/proc/self/statm", "rb") as file:
+        return int(file.read().split()[1]) * PAGE_MB
+
+
+class Worker:
+    def __init__(self) -> None:
+        self.channel: Channel
+        self.engine: Engine | None = None
+        self.frontend: Frontend | None = None
+        self.config: Config
+        self.socks: list[socket.socket] = []
+        self.ready_said = self.accepting = False
+        self.exit_code = 0
+        self.hard_limit_s = 1.0  # s from the supervisor's end to this process's own, come what may
+        self.draining: asyncio.Task[None] | None = None
+        self.limit = asyncio.Event()  # the drain's time is over
+        self.limit_timer: asyncio.TimerHandle | None = None
+        self.ended = asyncio.Event()
+        self.loop = asyncio.get_running_loop()
+
+    # From the supervisor
+
+    def on_message(self, message: Message) -> None:
+        try:
+            kind = message["kind"]
+            if kind == "hello":
+                self.hello(message)
+            elif kind == "list":
+                self.take_list(message["list"])
+            elif kind == "accept":
+                self.accept()
+            elif kind == "drain":
+                self.drain(float(message["limit_s"]), bool(message["last"]))
+        except (Unusable, Malformed, KeyError, OSError, ValueError) as error:
+            self.fail(f"{type(error).__name__}: {error}")
+
+    def on_end(self) -> None:
+        """The supervisor is gone. Nobody watches this process any more, and nobody would stop it: it takes
+        what waits, finishes and ends. Its successor gets the address once the last such one has let go."""
+        if self.engine is None or self.ended.is_set():
+            self.ended.set()
+        else:
+            if self.draining is None:
+                log("the supervisor is gone: draining")
+            self.drain(self.config.drain.limit_s, True)
+
+    def on_term(self) -> None:
+        """Somebody ends this one process: the supervisor starts another in its place."""
+        if self.engine is None:
+            self.ended.set()
+        else:
+            self.drain(self.config.drain.limit_s, False)
+
+    def hello(self, message: Message) -> None:
+        self.config = parse(message["config"], message["path"])
+        limits, number = self.config.limits, int(message["number"])
+        self.hard_limit_s = self.config.drain.limit_s + 1.0
+        _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        sockets = limits.sockets if hard == resource.RLIM_INFINITY else min(limits.sockets, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, hard))
+        to_backends, to_clients = share_out(sockets)
+        settings, wire = self.config.settings(number), self.config.wire()
+        self.socks = [socket.socket(fileno=fd) for fd in message["listeners"]]
+        self.engine = Engine(settings, wire, int(message["seed"]), to_backends)
+        self.frontend = Frontend(self.engine, Reader(settings, wire), to_clients, ACCEPT_SHARED)
+        self.take_list(message["list"])
+        self.beat(self.config.start.watchdog_s / BEATS)
+
+    def take_list(self, raw: Any) -> None:
+        assert self.engine is not None
+        self.engine.on_list(read_listing(raw, self.config.wire()))
+        if not self.ready_said and self.engine.backends.active() > 0:
+            self.ready_said = True
+            # The module has met the list in the loop's next turn, before any client can be accepted.
+            self.loop.call_soon(self.channel.say, {"kind": "ready"})
+
+    def accept(self) -> None:
+        if not self.accepting and self.draining is None and self.frontend is not None:
+            self.accepting = True
+            gc.collect()
+            gc.freeze()
+            self.frontend.serve_on(self.socks)
+
+    def drain(self, limit_s: float, last: bool) -> None:
+        """Told again with less time, it hurries."""
+        if self.limit_timer is not None:
+            self.limit_timer.cancel()
+        self.limit_timer = self.loop.call_later(max(limit_s - LAST_WORDS_S, 0.0), self.limit.set)
+        if self.draining is None:
+            self.draining = self.loop.create_task(self._drain(last))
+
+    async def _drain(self, last: bool) -> None:
+        engine, frontend = self.engine, self.frontend
+        if engine is None or frontend is None or not self.accepting:
+            self.ended.set()
+            return
+        frontend.stop_keeping()
+        if not last:
+            frontend.stop_accepting()
+        idle = self.loop.create_task(asyncio.sleep(self.config.drain.idle_s))
+        await self._unless_over(idle)
+        if last:
+            frontend.accept_waiting()
+        # The connections that were accepted in this moment have their requests in the kernel by now, or not
+        # at all; `finish` looks before it closes.
+        await self._unless_over(self.loop.create_task(frontend.finish(self.config.drain.limit_s)))
+        if self.limit.is_set():
+            engine.give_up_all()
+            await asyncio.sleep(LAST_WORDS_S / 2)
+        engine.close()
+        self.ended.set()
+
+    async def _unless_over(self, task: asyncio.Task[None]) -> None:
+        over = self.loop.create_task(self.limit.wait())
+        await asyncio.wait((task, over), return_when=asyncio.FIRST_COMPLETED)
+        over.cancel()
+        task.cancel()
+        await asyncio.gather(task, over, return_exceptions=True)
+
+    # To the supervisor
+
+    def beat(self, every_s: float) -> None:
+        self.loop.call_later(every_s, self.beat, every_s)
+        engine, frontend = self.engine, self.frontend
+        assert engine is not None and frontend is not None
+        self.channel.say(
+            {
+                "kind": "beat",
+                "in_flight": engine.open_requests(),
+                "clients": frontend.held,
+                "rss_mb": round(resident_mb(), 1),
+                "rev": engine.list_rev,
+            }
+        )
+
+    def fail(self, reason: str) -> None:
+        """What it was told is of no use, or it lacks what it needs: the supervisor decides what follows."""
+        self.channel.say({"kind": "failed", "reason": reason})
+        self.exit_code = 1
+        self.loop.call_soon(self.ended.set)
+
+
+def watch_parent(parent: int, worker: Worker) -> None:
+    """A loop that hangs never hears that the supervisor is gone; without it nobody would end this process."""
+
+    def watch() -> None:
+        while os.getppid() == parent:
+            time.sleep(PARENT_LOOK_S)
+        time.sleep(worker.hard_limit_s)
+        os._exit(3)
+
+    threading.Thread(target=watch, daemon=True, name="parent").start()
+
+
+async def work(fd: int) -> int:
+    parent = os.getppid()
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(
+        lambda _, context: log(f"bug: {context.get('message')}: {context.get('exception')!r}")
+    )
+    worker = Worker()
+    # A terminal's Ctrl-C goes to the whole group: what it means is the supervisor's to say.
+    for number in (signal.SIGINT, signal.SIGHUP, signal.SIGUSR2):
+        signal.signal(number, signal.SIG_IGN)
+    early: list[Message] = []
+    worker.channel = await open_channel(socket.socket(fileno=fd), early.append, worker.on_end)
+    worker.channel.on_message = worker.on_message
+    for message in early:
+        worker.on_message(message)
+    loop.add_signal_handler(signal.SIGTERM, worker.on_term)
+    watch_parent(parent, worker)
+    await worker.ended.wait()
+    await asyncio.sleep(0)
+    worker.channel.close()
+    return worker.exit_code
+
+
+def main() -> int:
+    return uvloop.run(work(int(sys.argv[1])))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/flintlatch/standin/demo.py
@@ -0,0 +1,86 @@
+"""`flintlatch demo`: a fleet among stand-in nodes, through a reload and a node's death, with a ledger."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import tempfile
+from pathlib import Path
+
+import uvloop
+
+from flintlatch.standin.client import Clients
+from flintlatch.standin.node import Shape
+from flintlatch.standin.process import FleetProcess
+from flintlatch.standin.rig import CLASSES, MIX, Rig
+
+RATE = 300.0  # requests a second: one core or two are enough for all of it
+NODES = 5
+
+
+def say(text: str) -> None:
+    print(text, flush=True)
+
+
+async def show(clients: Clients, seconds: float) -> None:
+    """A line a second while traffic runs."""
+    loop = asyncio.get_running_loop()
+    begun, before = loop.time(), 0
+    while loop.time() - begun < seconds:
+        await asyncio.sleep(1)
+        served = clients.statuses[200]
+        other = clients.statuses.total() - served
+        say(
+            f"  {loop.time() - begun:4.0f} s  asked {clients.count:6}  served {served:6} (+{served - before})"
+            f"  refused or failed {other:4}  open {clients.open:3}"
+        )
+        before = served
+
+
+async def demo(seed: int, seconds: float, instances: int, folder: Path) -> int:
+    rig = await Rig(folder, seed).open(NODES, Shape(slots=8, work_ms=15))
+    fleet = FleetProcess(rig.write(fleet={"instances": instances}))
+    say(f"{NODES} stand-in nodes and a registry at {rig.registry.address}; starting {instances} instances")
+    clients: Clients | None = None
+    try:
+        await (await fleet.start()).ready()
+        say(
+            f"the fleet is ready and listens on {fleet.address}; {RATE:g} requests a second for {seconds:g} s"
+        )
+        clients = Clients(fleet.address, CLASSES, rig.ledger, seed)
+        shown = asyncio.create_task(show(clients, seconds))
+        traffic = asyncio.create_task(clients.run(RATE, seconds, MIX))
+        await asyncio.sleep(seconds * 0.25)
+        say("-- reload: a new generation gets ready, then the old one drains")
+        answer = await fleet.ask("reload")
+        say(f"-- reload: generation {answer['generation']} serves, after {answer['took_s']} s")
+        await asyncio.sleep(seconds * 0.2)
+        say(f"-- node {rig.nodes[0].uid} dies, with {rig.nodes[0].busy} requests at work")
+        rig.nodes[0].die()
+        await asyncio.sleep(seconds * 0.1)
+        say(f"-- node {rig.nodes[1].uid} is told to drain")
+        rig.registry.drain(rig.nodes[1])
+        await traffic
+        await shown
+        code = await fleet.stop()
+    finally:
+        if clients is not None:
+            clients.close()
+        await fleet.close()
+        rig.close()
+    broken = rig.ledger.broken()
+    say("\n" + rig.ledger.table())
+    say(f"{'median, 99% (ms)':<20} {clients.quantile(0.5):>8.1f} {clients.quantile(0.99):.1f}")
+    for breach in broken[:20]:
+        say(f"BROKEN {breach}")
+    if code:
+        say(f"the fleet ended with exit code {code}:\n" + "\n".join(fleet.log[-20:]))
+    held = not broken and not code and bool(clients.statuses[200])
+    say("every rule held" if held else "a rule broke, see above")
+    return 0 if held else 1
+
+
+def run(seed: int, seconds: float, instances: int) -> int:
+    with tempfile.TemporaryDirectory(prefix="flintlatch-") as folder:
+        os.chmod(folder, 0o700)
+        return uvloop.run(demo(seed, seconds, instances, Path(folder)))
--- /dev/null
+++ b/flintlatch/standin/rig.py
@@ -0,0 +1,91 @@
+"""Everything at once for a rig: stand-in nodes, a registry, a ledger, and the configuration of a fleet."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from flintlatch.api import Effect, RequestClass, Scope
+from flintlatch.net.clock import now_ms
+from flintlatch.standin.ledger import Ledger
+from flintlatch.standin.node import Node, Shape
+from flintlatch.standin.registry import Registry
+
+DRAIN_GRACE_MS = 500.0  # from the registry's word to the last new request at a node
+CLASSES = {
+    "answer": RequestClass(300, 900, Effect.SAFE, worth=1),
+    "purchase": RequestClass(800, 2400, Effect.KEYED, Scope.ALL, 10_000, worth=12),
+    "grade": RequestClass(500, 1500, Effect.UNSAFE, worth=3),
+}
+MIX = {"answer": 0.7, "purchase": 0.2, "grade": 0.1}
+
+
+def toml(value: object) -> str:
+    """A value as TOML; text, numbers, flags and lists of them."""
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, list):
+        return "[" + ", ".join(map(toml, value)) + "]"
+    if isinstance(value, str):
+        return '"' + value.replace("\\", "\\\\").replace('"', '\\"') + '"'
+    return repr(value)
+
+
+def configuration(registry: str, **tables: dict[str, Any]) -> str:
+    """A fleet's configuration on a free port; `tables` replaces or adds keys, a table each."""
+    content: dict[str, dict[str, Any]] = {
+        "fleet": {"name": "rig", "instances": 4, "listen": ["127.0.0.1:0"], "control": "c.sock"},
+        "limits": {"sockets": 512, "memory_mb": 512},
+        "start": {"ready_s": 30.0},
+        "drain": {"limit_s": 10.0, "idle_s": 0.5, "hurry_s": 1.0},
+        "nodes": {"source": "registry", "registry": registry, "connect_timeout_ms": 1000},
+    }
+    for name, keys in tables.items():
+        content[name] = content.get(name, {}) | keys
+    lines = []
+    for name, keys in content.items():
+        lines += [f"[{name}]", *(f"{key} = {toml(value)}" for key, value in keys.items()), ""]
+    for name, spec in CLASSES.items():
+        lines += ["[[class]]", f'name = "{name}"', f"aim_ms = {spec.aim_ms}", f"worth = {spec.worth}"]
+        lines += [f"deadline_ms = {spec.deadline_ms}", f'effect = "{spec.effect.value}"']
+        if spec.effect is Effect.KEYED:
+            lines += [f'scope = "{spec.scope.value}"', f"window_ms = {spec.window_ms}"]
+    return "\n".join(lines) + "\n"
+
+
+class Rig:
+    """Nodes that share their keys, a registry that lists them, and the ledger that all write to."""
+
+    def __init__(self, folder: Path, seed: int) -> None:
+        self.folder, self.seed = folder, seed
+        self.ledger = Ledger(DRAIN_GRACE_MS)
+        self.registry = Registry(self.ledger)
+        self.nodes: list[Node] = []
+        self.keys: dict[bytes, float] = {}
+        self.config = folder / "fleet.toml"
+
+    async def open(self, nodes: int, shape: Shape | None = None) -> Rig:
+        await self.registry.open()
+        for _ in range(nodes):
+            await self.add(shape or Shape())
+        return self
+
+    async def add(self, shape: Shape) -> Node:
+        """One more node, just started, named by the registry at once."""
+        node = Node(f"s{len(self.nodes)}", shape, self.ledger, self.seed, self.keys)
+        await node.open()
+        self.nodes.append(node)
+        self.registry.add(node, now_ms() if shape.cold_ms else 0.0)
+        return node
+
+    def write(self, **tables: dict[str, Any]) -> Path:
+        """Write the fleet's configuration whole, in place of the one before."""
+        fresh = self.config.with_suffix(".new")
+        fresh.write_text(configuration(self.registry.address, **tables))
+        fresh.rename(self.config)
+        return self.config
+
+    def close(self) -> None:
+        for node in self.nodes:
+            node.die()
+        self.registry.close()
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,64 @@
+"""What the platform's proxy must not feel: it imports what it always did, and nothing of the fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import importlib.util
+import re
+import sys
+from pathlib import Path
+
+from tests.loopback import Peer, configuration, run, target
+from tests.test_program import write
+
+OURS = {
+    "flintlatch",
+    "flintlatch.api",
+    "flintlatch.choice",
+    "flintlatch.settings",
+    "flintlatch.net",
+    "flintlatch.net.backends",
+    "flintlatch.net.clock",
+    "flintlatch.net.discovery",
+    "flintlatch.net.engine",
+    "flintlatch.net.frontend",
+    "flintlatch.net.http1",
+    "flintlatch.net.request",
+}
+OTHERS = {"httptools", "orjson", "uvloop"}
+HEAVY = {"argparse", "tomllib", "multiprocessing", "sqlite3", "http.client"}  # of the standard library
+
+
+def installed(name: str) -> bool:
+    """Whether a top-level module came from a package that pip installed."""
+    if name in sys.stdlib_module_names or name == "sitecustomize" or name.startswith("_"):
+        return False
+    spec = importlib.util.find_spec(name)
+    return spec is not None and "site-packages" in (spec.origin or "")
+
+
+def test_it_imports_the_listed_modules_and_no_other(tmp_path: Path) -> None:
+    names: set[str] = set()
+
+    async def test() -> None:
+        backend = await Peer().open()
+        env = write(tmp_path, configuration("127.0.0.1:1", target("s", backend.address)))
+        program = await asyncio.create_subprocess_exec(
+            sys.executable, "-X", "importtime", "-m", "flintlatch", env=env, stderr=asyncio.subprocess.PIPE
+        )
+        assert program.stderr is not None
+        line = ""
+        while "listens on" not in line:
+            line = (await program.stderr.readline()).decode()
+            assert line, "it ended before it listened"
+            if found := re.fullmatch(r"import time:.*\| +(\S+)\n", line):
+                names.add(found[1])
+        program.terminate()
+        await program.communicate()
+        backend.close()
+
+    run(test())
+    assert {name for name in names if name.partition(".")[0] == "flintlatch"} == OURS
+    tops = {name.partition(".")[0] for name in names} - {"flintlatch"}
+    assert {name for name in tops if installed(name)} <= OTHERS
+    assert not names & HEAVY
