Test the fleet by causing each case that it must come through

Need: a daemon's promises count where it is hurt: reloads in the middle, kills, hangs, crash loops, a dead supervisor, taken ports. A running fleet is found by its control path even if its file has other faults.

--- a/flintlatch/cli.py
+++ b/flintlatch/cli.py
@@ -33,13 +33,18 @@
         added.add_argument("config", metavar="CONFIG", help="the fleet's configuration, a TOML file")
         return added
 
+    def running(name: str, text: str) -> argparse.ArgumentParser:
+        added = with_config(name, text)
+        added.add_argument("--control", metavar="SOCKET", help="its control socket, if not as in CONFIG")
+        return added
+
     with_config("fleet", "run a fleet in the foreground; HUP reloads, TERM drains, USR2 upgrades in place")
     with_config("check", "check a configuration and report every problem in it; exit code 2 if there is one")
-    status = with_config("status", "show a running fleet: generations, instances, last reload")
+    status = running("status", "show a running fleet: generations, instances, last reload")
     status.add_argument("--json", action="store_true", help="print the answer of the control socket as it is")
-    with_config("reload", "have a running fleet read its configuration again, and wait for the result")
-    with_config("upgrade", "have a running fleet start the program anew on the same sockets, then drain")
-    with_config("stop", "have a running fleet drain and end; once more hurries it")
+    running("reload", "have a running fleet read its configuration again, and wait for the result")
+    running("upgrade", "have a running fleet start the program anew on the same sockets, then drain")
+    running("stop", "have a running fleet drain and end; once more hurries it")
     demo = command("demo", "run stand-in nodes and a fleet on loopback, through a reload and a node's death")
     demo.add_argument("--seed", type=int, default=1, help="of the traffic (default: %(default)s)")
     demo.add_argument("--seconds", type=float, default=12.0, help="of traffic (default: %(default)s)")
@@ -82,22 +87,22 @@
     return 0
 
 
-def ask(path: str, request: dict[str, Any], timeout_s: float = 30.0) -> dict[str, Any] | None:
+def ask(args: argparse.Namespace, request: dict[str, Any], timeout_s: float = 30.0) -> dict[str, Any] | None:
     """The running fleet's answer; None, after a line that says why, if there is none."""
-    from flintlatch.config import Unusable, load
+    from flintlatch.config import Unusable, find_control
     from flintlatch.fleet.control import Taken
     from flintlatch.fleet.control import ask as ask_fleet
 
     try:
-        return ask_fleet(load(path).control_path, request, timeout_s)
+        return ask_fleet(args.control or find_control(args.config), request, timeout_s)
     except (Unusable, Taken) as error:
         print(error, file=sys.stderr)
         return None
 
 
-def command_running(command: str, path: str) -> int:
+def command_running(command: str, args: argparse.Namespace) -> int:
     # A reload waits for the nodes' list and for the new generation, each within its limit.
-    answer = ask(path, {"do": command}, 1300.0)
+    answer = ask(args, {"do": command}, 1300.0)
     if answer is None:
         return 1
     if not answer["ok"]:
@@ -108,11 +113,11 @@
     return 0
 
 
-def status(path: str, as_json: bool) -> int:
-    answer = ask(path, {"do": "status"})
+def status(args: argparse.Namespace) -> int:
+    answer = ask(args, {"do": "status"})
     if answer is None:
         return 1
-    if as_json:
+    if args.json:
         print(json.dumps(answer, indent=2))
         return 0
     print(f"{answer['name']} (pid {answer['pid']}), {answer['phase']}: {answer['summary']}")
@@ -151,9 +156,9 @@
     if args.command == "check":
         return check(args.config)
     if args.command == "status":
-        return status(args.config, args.json)
+        return status(args)
     if args.command in ("reload", "upgrade", "stop"):
-        return command_running(args.command, args.config)
+        return command_running(args.command, args)
     if args.command == "demo":
         from flintlatch.standin.demo import run as run_demo
 
--- a/flintlatch/config/__init__.py
+++ b/flintlatch/config/__init__.py
@@ -13,6 +13,7 @@
 from flintlatch.api import Settings
 from flintlatch.config.reader import Problem, Reader, Unusable
 from flintlatch.config.tables import (
+    CONTROL,
     ClassRow,
     DrainTable,
     FleetTable,
@@ -31,7 +32,7 @@
 )
 from flintlatch.settings import Wire
 
-__all__ = ["Config", "Problem", "Unusable", "load", "parse", "read_file"]
+__all__ = ["Config", "Problem", "Unusable", "find_control", "load", "parse", "read_file"]
 
 MOST_BYTES = 4 * 1024 * 1024  # of a file: tens of thousands of static nodes; more is not a configuration
 DRAIN_SPARE_S = 1.0  # s of a drain beyond the idle time and the longest deadline, for the end itself
@@ -53,7 +54,7 @@
 
     @property
     def control_path(self) -> str:
-        return os.path.join(os.path.dirname(os.path.abspath(self.path)), self.fleet.control)
+        return beside(self.path, self.fleet.control)
 
     def settings(self, number: int) -> Settings:
         """The decision module's settings for instance `number` of `fleet.instances`, counted from 0.
@@ -90,6 +91,22 @@
         )
 
 
+def beside(path: str, name: str) -> str:
+    return os.path.join(os.path.dirname(os.path.abspath(path)), name)
+
+
+def find_control(path: str) -> str:
+    """Where the control socket of a fleet with this configuration is, whatever else is wrong in the file:
+    a running one must be reached to hear why it refused it. Unusable if the file does not tell."""
+    try:
+        raw = tomllib.loads(read_file(path))
+    except tomllib.TOMLDecodeError as error:
+        raise Unusable([Problem(path, "file", str(error), "TOML, or the socket by --control")]) from None
+    table = raw.get("fleet")
+    name = table.get("control", CONTROL) if isinstance(table, dict) else CONTROL
+    return beside(path, name if isinstance(name, str) and name else CONTROL)
+
+
 def read_file(path: str) -> str:
     """The text at `path`; Unusable if it can't be read."""
     try:
@@ -131,7 +148,7 @@
     unique(top, "class.name", [row.name for row in config.classes])
     unique(top, "tenant.name", [row.name for row in config.tenants])
     top.done()
-    if not any(row.spec.worth > 0 for row in config.classes):
+    if config.classes and not any(row.spec.worth > 0 for row in config.classes):
         top.problem("class.worth", "0 in every class", "a class that is worth something")
     longest = max((row.spec.deadline_ms for row in config.classes), default=0) / 1000
     least = config.drain.idle_s + longest + DRAIN_SPARE_S
--- a/flintlatch/config/tables.py
+++ b/flintlatch/config/tables.py
@@ -9,6 +9,7 @@
 
 MOST_INSTANCES = 256  # processes on one machine: far beyond its cores, and far below its process table
 CONTROL_PATH_MOST = 100  # bytes: a Unix socket's path holds 108, less the suffix it is first made under
+CONTROL = "flintlatch.sock"
 DAY_S = 86400.0
 
 
@@ -103,7 +104,7 @@
     fixed = [a for a in addresses if not a.endswith(":0")]
     for twice in sorted({a for a in fixed if fixed.count(a) > 1}):
         reader.problem("listen", repr(twice), "each address once")
-    control = reader.text("control", "flintlatch.sock", "the path of a socket to be made")
+    control = reader.text("control", CONTROL, "the path of a socket to be made")
     if len(control.encode()) > CONTROL_PATH_MOST:
         reader.problem("control", f"{len(control.encode())} bytes", f"a path of at most {CONTROL_PATH_MOST}")
     table = FleetTable(
--- a/flintlatch/standin/node.py
+++ b/flintlatch/standin/node.py
@@ -182,6 +182,7 @@
             call.reply(404)
             return
         if self.hold is not None and self.hold(call):
+            self._note(call, True)
             return
         fault = self._draw()
         if fault is Fault.REJECT or self.draining or len(self.waiting) >= self.shape.queue:
@@ -227,8 +228,7 @@
         known = call.key is not None and call.key in self.keys
         if call.key is not None and not known:
             self.keys[call.key] = now_ms()
-        key = call.key.decode("latin-1") if call.key is not None else None
-        self.ledger.run(Run(call.id, key, self.uid, self.shape.zone, self.shape.cell, now_ms(), not known))
+        self._note(call, not known)
         work = self.shape.work_ms * self.random.uniform(0.5, 1.5) / self.capacity() / 1000
         timer: asyncio.TimerHandle
 
@@ -239,6 +239,10 @@
         timer = asyncio.get_running_loop().call_later(work, end)
         self.timers.add(timer)
 
+    def _note(self, call: Call, effect: bool) -> None:
+        key = call.key.decode("latin-1") if call.key is not None else None
+        self.ledger.run(Run(call.id, key, self.uid, self.shape.zone, self.shape.cell, now_ms(), effect))
+
     def _end(self, call: Call, fault: Fault) -> None:
         self.busy -= 1
         self.served += 1
--- /dev/null
+++ b/tests/config/test_config.py
@@ -0,0 +1,168 @@
+"""The fleet's configuration: what is good, and what is said of all that is not, at once."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from flintlatch.api import Effect, Scope
+from flintlatch.cli import main
+from flintlatch.config import Unusable, load, parse
+from flintlatch.standin.rig import toml
+
+EXAMPLE = Path(__file__).parent.parent.parent / "deploy" / "fleet.toml"
+STATIC = """
+[fleet]
+name = "t"
+listen = ["[::1]:8080", "127.0.0.1:0", "127.0.0.1:0"]
+[drain]
+limit_s = 60
+[nodes]
+source = "static"
+zones = ["a", "b"]
+zone = "b"
+[[nodes.static]]
+uid = "n1"
+address = "127.0.0.1:9001"
+zone = "b"
+[[nodes.static]]
+uid = "n2"
+address = "[::1]:9001"
+[[class]]
+name = "buy"
+aim_ms = 100
+deadline_ms = 200
+effect = "keyed"
+scope = "cell"
+window_ms = 5000
+[[tenant]]
+name = "school"
+quota_per_s = 5
+"""
+
+
+def problems(text: str) -> list[str]:
+    with pytest.raises(Unusable) as caught:
+        parse(text, "f.toml")
+    return [str(problem) for problem in caught.value.problems]
+
+
+def test_the_example_is_good_and_read_as_written() -> None:
+    config = load(EXAMPLE)
+    assert (config.fleet.instances, config.nodes.registry) == (4, "127.0.0.1:8500")
+    assert [row.name for row in config.classes] == ["answer", "purchase", "grade"]
+    settings = config.settings(3)
+    settings.check()
+    assert (settings.proxies, settings.me, settings.most_attempts) == (4, 3, 3)
+    assert config.control_path == str(EXAMPLE.parent / "flintlatch.sock")
+
+
+def test_static_nodes_classes_and_tenants() -> None:
+    config = parse(STATIC, "/etc/f.toml")
+    assert [node.zone for node in config.nodes.static] == ["b", "default"]
+    spec = config.classes[0].spec
+    assert (spec.effect, spec.scope, spec.window_ms) == (Effect.KEYED, Scope.CELL, 5000)
+    assert config.settings(0).zone == 1 and config.settings(0).quotas == (5.0,)
+    assert config.wire().tenants == {"school": 0}
+
+
+def test_all_problems_come_at_once_with_place_find_and_expectation() -> None:
+    text = STATIC.replace('name = "t"', 'name = "t!"\ncolour = 3').replace("aim_ms = 100", 'aim_ms = "x"')
+    text = text.replace('zone = "b"\n[[', 'zone = "c"\n[[').replace("window_ms = 5000\n", "")
+    assert problems(text) == [
+        "f.toml: fleet.name: found 't!', expected a name of 1 to 63 letters, digits, '.', '_' or '-'",
+        "f.toml: fleet.colour: found 3, expected no such key "
+        "(known here: control, instances, listen, log_level, name)",
+        'f.toml: nodes.zone: found \'c\', expected one of "a", "b"',
+        "f.toml: class[0].window_ms: missing, expected how long nodes remember a key",
+        "f.toml: class[0].aim_ms: found 'x', expected a number from 0.1 to 600000",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "words"),
+    [
+        ("listen = [", "listen = [3, ", "fleet.listen[0]: found 3, expected an address"),
+        ('"[::1]:8080"', '"::1:8080"', "found '::1:8080', expected an address"),
+        ('"[::1]:8080"', '"localhost:8080"', "found 'localhost:8080'"),
+        ('"[::1]:8080"', '"127.0.0.1:65536"', "found '127.0.0.1:65536'"),
+        ('["[::1]:8080"', '["127.0.0.1:80", "127.0.0.1:80"', "expected each address once"),
+        ("127.0.0.1:9001", "127.0.0.1:0", "expected a port from 1 to 65535"),
+        ('"n2"', '"n1"', "nodes.static.uid: found 'n1', expected each uid once"),
+        ("[::1]:9001", "127.0.0.1:9001", "expected each address once"),
+        ("deadline_ms = 200", "deadline_ms = 50", "deadline_ms: found 50, expected at least aim_ms, 100"),
+        ("deadline_ms = 200", "deadline_ms = 59_500", "drain.limit_s: found 60, expected at least 61.5"),
+        ("aim_ms = 100", "aim_ms = nan", "aim_ms: found nan"),
+        ("aim_ms = 100", "aim_ms = true", "aim_ms: found true"),
+        ('effect = "keyed"', 'effect = "safe"', 'effect: found "safe", expected "keyed" where'),
+        ("[[tenant]]", "[tenant]", "tenant: found a table, expected [[tenant]] tables"),
+        ("[drain]", "[drian]", "drian: found a table, expected no such key"),
+        ("[fleet]", "fleet = 3\n[x]", "fleet: found 3, expected a table"),
+        ("quota_per_s = 5", "quota_per_s = -1", "quota_per_s: found -1"),
+        ("[drain]", "[drain", "TOML"),
+    ],
+)
+def test_each_fault_is_named(old: str, new: str, words: str) -> None:
+    assert old in STATIC
+    found = problems(STATIC.replace(old, new))
+    assert any(words in problem for problem in found), found
+
+
+def places(table: dict[str, Any], path: tuple[Any, ...] = ()) -> Iterator[tuple[Any, ...]]:
+    for key, value in table.items():
+        if isinstance(value, dict):
+            yield from places(value, (*path, key))
+        elif isinstance(value, list) and value and isinstance(value[0], dict):
+            for number, row in enumerate(value):
+                yield from places(row, (*path, key, number))
+        else:
+            yield (*path, key)
+
+
+def written(table: dict[str, Any], name: str = "") -> str:
+    plain = [f"{k} = {toml(v)}" for k, v in table.items() if not isinstance(v, dict) and not rows(v)]
+    text = "\n".join(plain) + "\n"
+    for key, value in table.items():
+        full = f"{name}.{key}" if name else key
+        if isinstance(value, dict):
+            text += f"[{full}]\n" + written(value, full)
+        elif rows(value):
+            text += "".join(f"[[{full}]]\n" + written(row, full) for row in value)
+    return text
+
+
+def rows(value: Any) -> bool:
+    return isinstance(value, list) and bool(value) and isinstance(value[0], dict)
+
+
+@pytest.mark.parametrize("source", [EXAMPLE.read_text(), STATIC], ids=["example", "static"])
+def test_a_wrong_type_at_any_key_is_named_by_its_key(source: str) -> None:
+    assert parse(written(tomllib.loads(source)), "f.toml")
+    for place in places(tomllib.loads(source)):
+        raw: Any = tomllib.loads(source)
+        at = raw
+        for step in place[:-1]:
+            at = at[step]
+        at[place[-1]] = [[]]
+        found = problems(written(raw))
+        assert any(f"{place[-1]}: found [[]]" in p or f"{place[-1]}[0]: found []" in p for p in found), (
+            place,
+            found,
+        )
+
+
+def test_check_tells_good_from_bad_by_its_exit_code(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert main(["check", str(EXAMPLE)]) == 0
+    assert "good: 4 instances, 3 classes, nodes: 127.0.0.1:8500" in capsys.readouterr().out
+    bad = tmp_path / "bad.toml"
+    bad.write_text("[fleet]\n")
+    assert main(["check", str(bad)]) == 2
+    assert capsys.readouterr().err.endswith("5 problems\n")
+    assert main(["status", str(EXAMPLE)]) == 1
+    assert "no fleet runs there" in capsys.readouterr().err
