Name several fleets before one set of nodes; let the core keep reloads in order

Need: a fleet among several on other machines must tell its decisions how many proxies there are in all; a reload held the next one back in the shell, though the core decides that order. Result: tests of the fleet pass, with a new one that moves addresses and sends a storm of reloads.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -192,7 +192,9 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--instances", type=int, default=30)
     parser.add_argument("--seconds", type=float, default=60.0)
--- a/flintlatch/config/__init__.py
+++ b/flintlatch/config/__init__.py
@@ -63,8 +63,8 @@
         nodes = self.nodes
         return Settings(
             classes=tuple(row.spec for row in self.classes),
-            proxies=self.fleet.instances,
-            me=number,
+            proxies=self.fleet.proxies,
+            me=self.fleet.first + number,
             zone=nodes.zones.index(nodes.zone),
             zones=1,
             quotas=tuple(row.quota_per_s for row in self.tenants),
--- a/flintlatch/config/tables.py
+++ b/flintlatch/config/tables.py
@@ -9,6 +9,7 @@
 
 MOST_INSTANCES = 256  # processes on one machine: far beyond its cores, and far below its process table
 CONTROL_PATH_MOST = 100  # bytes: a Unix socket's path holds 108, less the suffix it is first made under
+MOST_PROXIES = 100_000  # before one set of nodes
 CONTROL = "flintlatch.sock"
 DAY_S = 86400.0
 
@@ -19,6 +20,8 @@
 
     name: str
     instances: int
+    proxies: int  # of all fleets before the same nodes, this one's included
+    first: int  # number of this fleet's first instance among those
     listen: tuple[str, ...]  # host:port; port 0 takes a free one
     control: str  # path of the control socket, as written; relative to the file's folder
     log_level: str
@@ -30,7 +33,6 @@
 
     sockets: int  # descriptors
     memory_mb: float  # resident; an instance above it is replaced by a new one and drains
-    cores: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,9 +109,16 @@
     control = reader.text("control", CONTROL, "the path of a socket to be made")
     if len(control.encode()) > CONTROL_PATH_MOST:
         reader.problem("control", f"{len(control.encode())} bytes", f"a path of at most {CONTROL_PATH_MOST}")
+    instances = reader.whole("instances", 1, MOST_INSTANCES, 1)
+    first = reader.whole("first", 0, MOST_PROXIES, 0)
+    proxies = reader.whole("proxies", 1, MOST_PROXIES, first + instances)
+    if first + instances > proxies:
+        reader.problem("proxies", str(proxies), f"at least first + instances, {first + instances}")
     table = FleetTable(
         name=reader.name("name"),
-        instances=reader.whole("instances", 1, MOST_INSTANCES, 1),
+        instances=instances,
+        proxies=proxies,
+        first=first,
         listen=addresses,
         control=control,
         log_level=reader.choice("log_level", ("error", "warning", "info", "debug"), "info"),
@@ -122,7 +131,6 @@
     table = LimitsTable(
         sockets=reader.whole("sockets", 64, 1_000_000, 1024),
         memory_mb=reader.number("memory_mb", 32, 1_000_000, 512),
-        cores=reader.number("cores", 0.1, 1024, 1.0),
     )
     reader.done()
     return table
--- a/flintlatch/fleet/channel.py
+++ b/flintlatch/fleet/channel.py
@@ -48,6 +48,10 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(orjson.dumps(message) + b"\n")
 
+    def unread(self) -> int:
+        """Bytes said that the other side has left no room for."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
     def close(self) -> None:
         if self.transport is not None:
             self.transport.close()
--- a/flintlatch/fleet/listeners.py
+++ b/flintlatch/fleet/listeners.py
@@ -68,6 +68,7 @@
         for key in which:
             self.socks.pop(key).close()
 
-    def keep_only(self, addresses: Sequence[str]) -> None:
-        kept = set(keys(addresses))
+    def keep_only(self, *lists: Sequence[str]) -> None:
+        """Close those that none of the lists of addresses names."""
+        kept = {key for addresses in lists for key in keys(addresses)}
         self.close([key for key in self.socks if key not in kept])
--- a/flintlatch/fleet/supervisor.py
+++ b/flintlatch/fleet/supervisor.py
@@ -78,7 +78,8 @@
         self.wake: asyncio.TimerHandle | None = None
         self.tickets: dict[int, tuple[asyncio.Future[core.ReloadDone], Config, Nodes]] = {}
         self.last_ticket = 0
-        self.reading = asyncio.Lock()
+        self.reading = asyncio.Lock()  # a reload is read and prepared; the core keeps order from there on
+        self.opening: tuple[str, ...] = ()  # addresses of that reload
         self.next_reload: asyncio.Task[Message] | None = None  # asked for, its file not read yet
         self.last_reload: Message = {}
         self.news: list[str] = []
@@ -292,13 +293,16 @@
         done, _, nodes = self.tickets.pop(action.ticket)
         if not action.generation:  # its turn never came
             nodes.close()
-        if self.serving and self.core.phase is core.Phase.SERVING:
-            # Those of a reload that failed go, and those that the new generation no longer names.
-            waiting = [a for _, other, _ in self.tickets.values() for a in other.fleet.listen]
-            self.listeners.keep_only([*self.config.fleet.listen, *waiting])
+        self._close_listeners()
         if not done.done():
             done.set_result(action)
 
+    def _close_listeners(self) -> None:
+        """Those of a reload that failed go, and those that the new generation no longer names."""
+        if self.serving and self.core.phase is core.Phase.SERVING:
+            waiting = [other.fleet.listen for _, other, _ in self.tickets.values()]
+            self.listeners.keep_only(self.config.fleet.listen, self.opening, *waiting)
+
     # Workers
 
     def _spawn(self, action: core.Spawn) -> None:
@@ -312,9 +316,12 @@
     async def _run_worker(self, action: core.Spawn, process: Process) -> None:
         """Start one, hear it, and tell of its end."""
         try:
-            how = await self._worker_life(action, process)
+            # One that was given up before its turn came: its sockets may be closed by now.
+            how = "not started" if process.killed else await self._worker_life(action, process)
         except OSError as error:
             how = f"not started: {error.strerror or error}"
+        except Exception as error:  # whatever it was, the decisions must hear of the end
+            how = f"not started: {error!r}"
         if process.channel is not None:
             process.channel.close()
         del self.processes[action.worker]
@@ -404,8 +411,13 @@
         started = self.loop.time()
         async with self.reading:
             self.next_reload = None
-            answer = await self._reload_now()
-        generation, reason = answer
+            prepared = await self._prepare()
+        if isinstance(prepared, str):
+            generation, reason = 0, prepared
+            self._close_listeners()
+        else:
+            done = await prepared
+            generation, reason = done.generation, done.reason
         self.last_reload = {
             "ok": not reason,
             "reason": reason,
@@ -419,37 +431,35 @@
             self.notifier.ready(self.summary())
         return self.last_reload
 
-    async def _reload_now(self) -> tuple[int, str]:
+    async def _prepare(self) -> asyncio.Future[core.ReloadDone] | str:
+        """Check all that can be checked before a worker is started; the core's answer to come, or why not."""
         if self.core.phase is not core.Phase.SERVING:
-            return 0, f"the fleet is {self.core.phase.value}"
+            return f"the fleet is {self.core.phase.value}"
         if self.successor is not None:
-            return 0, "an upgrade is under way"
+            return "an upgrade is under way"
         try:
             config = load(self.config.path)
             check_descriptors(config)
         except (Unusable, CannotStart) as error:
-            return 0, str(error).replace("\n", "; ")
+            return str(error).replace("\n", "; ")
         if config.control_path != self.config.control_path:
-            return (
-                0,
-                f"{config.path}: fleet.control: can't change while the fleet runs; restart or upgrade it",
-            )
+            return f"{config.path}: fleet.control: can't change while the fleet runs; restart or upgrade it"
         self.notifier.reloading()
-        nodes: Nodes | None = None
         try:
-            fresh = await self.listeners.open(config.fleet.listen)
+            await self.listeners.open(config.fleet.listen)
         except NoListener as error:
-            return 0, str(error)
+            return str(error)
+        self.opening = config.fleet.listen
         nodes = Nodes(config, self._on_news, self.log)
         try:
             async with asyncio.timeout(config.start.ready_s):
                 await nodes.first()
         except TimeoutError:
             nodes.close()
-            self.listeners.close([key for key in fresh if key in self.listeners.socks])
-            return 0, self._no_list(config, nodes)
-        done = await self._ask_core(config, nodes)
-        return done.generation, done.reason
+            return self._no_list(config, nodes)
+        finally:
+            self.opening = ()
+        return self._ask_core(config, nodes)
 
     async def upgrade(self) -> Message:
         """Start a new program on the same listening sockets; this one drains once that serves."""
--- a/flintlatch/fleet/worker.py
+++ b/flintlatch/fleet/worker.py
@@ -29,6 +29,7 @@
 from flintlatch.settings import Malformed
 
 BEATS = 5  # signs of life within the watchdog's time: one that comes late must not count as silence
+MOST_UNREAD = 16 * 1024  # bytes that wait for a supervisor which does not read
 LAST_WORDS_S = 0.3  # s for the answers written at the limit to leave
 PARENT_LOOK_S = 0.5  # s between looks at whether the supervisor still lives, should the loop hang
 PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 1e6
@@ -160,6 +161,8 @@
         self.loop.call_later(every_s, self.beat, every_s)
         engine, frontend = self.engine, self.frontend
         assert engine is not None and frontend is not None
+        if self.channel.unread() > MOST_UNREAD:
+            return  # the supervisor hangs; what it missed then is of no use to it
         self.channel.say(
             {
                 "kind": "beat",
--- a/flintlatch/standin/process.py
+++ b/flintlatch/standin/process.py
@@ -98,6 +98,11 @@
         await self.said("ready: generation")
         return self
 
+    async def ready_by_status(self) -> FleetProcess:
+        """The same where the log is too quiet to tell."""
+        self.address = (await self.until(lambda status: status["phase"] == "serving"))["listen"][0]
+        return self
+
     async def ask(self, do: str, timeout_s: float = START_S) -> dict[str, Any]:
         path = find_control(str(self.config))
         return await asyncio.to_thread(ask, path, {"do": do}, timeout_s)
--- a/tests/config/test_config.py
+++ b/tests/config/test_config.py
@@ -76,7 +76,7 @@
     assert problems(text) == [
         "f.toml: fleet.name: found 't!', expected a name of 1 to 63 letters, digits, '.', '_' or '-'",
         "f.toml: fleet.colour: found 3, expected no such key "
-        "(known here: control, instances, listen, log_level, name)",
+        "(known here: control, first, instances, listen, log_level, name, proxies)",
         'f.toml: nodes.zone: found \'c\', expected one of "a", "b"',
         "f.toml: class[0].window_ms: missing, expected how long nodes remember a key",
         "f.toml: class[0].aim_ms: found 'x', expected a number from 0.1 to 600000",
@@ -99,6 +99,11 @@
         ("aim_ms = 100", "aim_ms = nan", "aim_ms: found nan"),
         ("aim_ms = 100", "aim_ms = true", "aim_ms: found true"),
         ('effect = "keyed"', 'effect = "safe"', 'effect: found "safe", expected "keyed" where'),
+        (
+            "[fleet]",
+            "[fleet]\nfirst = 4\nproxies = 4",
+            "proxies: found 4, expected at least first + instances, 5",
+        ),
         ("[[tenant]]", "[tenant]", "tenant: found a table, expected [[tenant]] tables"),
         ("[drain]", "[drian]", "drian: found a table, expected no such key"),
         ("[fleet]", "fleet = 3\n[x]", "fleet: found 3, expected a table"),
--- a/tests/fleet/test_daemon.py
+++ b/tests/fleet/test_daemon.py
@@ -111,6 +111,37 @@
     run(test())
 
 
+def test_a_reload_moves_to_other_addresses_and_a_storm_of_them_settles_on_the_last(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with daemon(tmp_path, **SMALL) as made:
+            held = [made.fleet.address, "127.0.0.1:0"]
+            made.rig.write(fleet={"instances": 1, "listen": ["[::1]:0", "127.0.0.1:0"]})
+            assert (await made.fleet.ask("reload"))["ok"]
+            status = await made.fleet.status()
+            assert [address.rpartition(":")[0] for address in status["listen"]] == ["127.0.0.1", "[::1]"]
+            assert made.fleet.address in status["listen"]  # its socket was kept, with what waited there
+            for address in status["listen"]:
+                host, _, port = address.rpartition(":")
+                reader, writer = await asyncio.open_connection(host.strip("[]"), int(port))
+                writer.write(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert await reader.readline() == b"HTTP/1.1 200 OK\r\n"
+                writer.close()
+            made.rig.write(fleet={"instances": 3, "listen": ["[::1]:0"]})
+            answers = await asyncio.gather(*(made.fleet.ask("reload") for _ in range(12)))
+            for _ in range(12):
+                made.fleet.signal(signal.SIGHUP)
+            assert any(answer["ok"] for answer in answers)
+            made.rig.write(fleet={"instances": 2, "listen": ["[::1]:0"]})
+            last = await made.fleet.ask("reload")
+            assert last["ok"]
+            status = await made.fleet.until(lambda s: len(s["generations"]) == 1)
+            assert status["summary"].endswith("2 of 2 instances serve") and len(status["listen"]) == 1
+            with pytest.raises(ConnectionRefusedError):
+                await Client.open(held[0])
+
+    run(test())
+
+
 def test_a_new_generation_that_never_gets_ready_fails_within_its_limit(tmp_path: Path) -> None:
     async def test() -> None:
         async with daemon(tmp_path, **SMALL) as made:
