Read ordinary HTTP strictly, and decide on bodies that pass through, without I/O

Need: an ordinary client behind another installation can't be served yet. A proxy that streams must first know where a message ends beyond dispute, and whom to blame when a transfer stalls. Change: http/ holds heads and bodies after RFC 9112, fields on their way through a proxy after RFC 9110 and 7239, the way from a request to class, tenant, key, budget and id, and the decisions on a body in transit: cap, pause, least rate and idle limit by side, replay cap, budget of the process. A worker that drains among others calls the address ready, since it is. The supervisor's status has a file of its own. Nothing serves by this core yet.

--- /dev/null
+++ b/flintlatch/fleet/status.py
@@ -0,0 +1,95 @@
+"""What a fleet tells of itself: the control socket's `status`, and the one line for the service manager."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from flintlatch.fleet import core
+from flintlatch.net.clock import now_ms
+
+if TYPE_CHECKING:
+    from flintlatch.fleet.supervisor import Supervisor
+
+
+def summary(fleet: core.Fleet) -> str:
+    """One line: how many of the current generation's instances serve."""
+    current = fleet.current
+    if current is None:
+        return fleet.phase.value
+    serving = [w for w in fleet.workers.values() if w.state is core.WorkerState.SERVING]
+    mine = sum(w.generation == current.number for w in serving)
+    given_up = sum(s.state is core.SlotState.GIVEN_UP for s in current.slots)
+    text = f"generation {current.number}: {mine} of {len(current.slots)} instances serve"
+    return text + (f", {given_up} given up" if given_up else "")
+
+
+def report(supervisor: Supervisor, pid: int, now_s: float) -> dict[str, Any]:
+    """All of it, as JSON. Ages in seconds; what is not known yet is null."""
+    fleet = supervisor.core
+    return {
+        "ok": True,
+        "name": supervisor.config.fleet.name,
+        "pid": pid,
+        "phase": fleet.phase.value,
+        "summary": summary(fleet),
+        "listen": supervisor.addresses(),
+        "config": supervisor.config.path,
+        "ready_after_s": round(supervisor.ready_after_s, 3),
+        "last_reload": supervisor.last_reload,
+        "news": supervisor.news,
+        "generations": [
+            {
+                "generation": generation.number,
+                "state": generation.state.value,
+                "nodes": nodes(supervisor, generation.number),
+                "slots": [slot_row(slot, now_s) for slot in generation.slots],
+            }
+            for generation in fleet.generations.values()
+        ],
+        "instances": [instance(supervisor, worker, now_s) for worker in fleet.workers.values()],
+    }
+
+
+def slot_row(slot: core.Slot, now_s: float) -> dict[str, Any]:
+    waits = slot.state is core.SlotState.WAITING
+    return {
+        "number": slot.number,
+        "state": slot.state.value,
+        "worker": slot.worker,
+        "restarts": slot.restarts,
+        "crashes_in_a_row": slot.crashes,
+        "last_crash": slot.last_crash,
+        "starts_in_s": round(slot.start_s - now_s, 3) if waits else None,
+    }
+
+
+def nodes(supervisor: Supervisor, generation: int) -> dict[str, Any]:
+    source = supervisor.nodes.get(generation)
+    if source is None:
+        return {}
+    age = (now_ms() - source.heard_ms) / 1000
+    return {
+        "count": len(source.targets),
+        "rev": source.rev,
+        "age_s": round(age, 1),
+        "failure": source.failure,
+    }
+
+
+def instance(supervisor: Supervisor, worker: core.Worker, now_s: float) -> dict[str, Any]:
+    process = supervisor.processes.get(worker.id)
+    started = process.process if process is not None else None
+    last = process.last if process is not None else {}
+    return {
+        "worker": worker.id,
+        "generation": worker.generation,
+        "number": worker.number,
+        "pid": started.pid if started is not None else None,
+        "state": worker.state.value,
+        "age_s": round(now_s - worker.started_s, 1),
+        "heard_s": round(now_s - worker.heard_s, 2),
+        "in_flight": last.get("in_flight"),
+        "clients": last.get("clients"),
+        "rss_mb": last.get("rss_mb"),
+        "rev": last.get("rev"),
+    }
--- a/flintlatch/fleet/supervisor.py
+++ b/flintlatch/fleet/supervisor.py
@@ -21,6 +21,7 @@
 from flintlatch.fleet.listeners import Listeners, NoListener, bound
 from flintlatch.fleet.nodes import Nodes, described
 from flintlatch.fleet.notify import Notifier, activated
+from flintlatch.fleet.status import report, summary
 from flintlatch.net.clock import now_ms
 from flintlatch.net.discovery import Listing
 
@@ -97,7 +98,7 @@
         if level in ("error", "warning"):
             self.news = [*self.news[1 - NEWS_KEPT :], f"{level}: {text}"]
             if self.serving and not self.handed_over:
-                self.notifier.status(self.summary())
+                self.notifier.status(summary(self.core))
 
     def task(self, coroutine: Any) -> asyncio.Task[Any]:
         task: asyncio.Task[Any] = self.loop.create_task(coroutine)
@@ -283,7 +284,7 @@
                 self.log("error", str(error))
             if self.predecessor is not None:
                 self.predecessor.say({"kind": "serving", "pid": os.getpid()})
-        self.notifier.ready(self.summary())
+        self.notifier.ready(summary(self.core))
         lack = "" if action.complete else ", not complete"
         self.log(
             "info", f"ready: generation {action.generation}, {self.config.fleet.instances} instances{lack}"
@@ -428,7 +429,7 @@
         if reason:
             self.log("error", f"reload: {reason}; going on as before")
         if self.serving and self.core.phase is core.Phase.SERVING:
-            self.notifier.ready(self.summary())
+            self.notifier.ready(summary(self.core))
         return self.last_reload
 
     async def _prepare(self) -> asyncio.Future[core.ReloadDone] | str:
@@ -528,7 +529,7 @@
     async def answer(self, request: Message) -> Message:
         command = request.get("do")
         if command == "status":
-            return self.status()
+            return report(self, os.getpid(), self.loop.time())
         if command == "reload":
             return await self.reload()
         if command == "upgrade":
@@ -541,84 +542,6 @@
     def addresses(self) -> list[str]:
         return [bound(sock) for sock in self.listeners.socks.values()]
 
-    def summary(self) -> str:
-        serving = [w for w in self.core.workers.values() if w.state is core.WorkerState.SERVING]
-        current = self.core.current
-        if current is None:
-            return self.core.phase.value
-        given_up = sum(s.state is core.SlotState.GIVEN_UP for s in current.slots)
-        mine = sum(w.generation == current.number for w in serving)
-        text = f"generation {current.number}: {mine} of {len(current.slots)} instances serve"
-        return text + (f", {given_up} given up" if given_up else "")
-
-    def status(self) -> Message:
-        now = self.loop.time()
-        return {
-            "ok": True,
-            "name": self.config.fleet.name,
-            "pid": os.getpid(),
-            "phase": self.core.phase.value,
-            "summary": self.summary(),
-            "listen": self.addresses(),
-            "config": self.config.path,
-            "ready_after_s": round(self.ready_after_s, 3),
-            "last_reload": self.last_reload,
-            "news": self.news,
-            "generations": [
-                {
-                    "generation": generation.number,
-                    "state": generation.state.value,
-                    "nodes": self._nodes_status(generation.number),
-                    "slots": [
-                        {
-                            "number": slot.number,
-                            "state": slot.state.value,
-                            "worker": slot.worker,
-                            "restarts": slot.restarts,
-                            "crashes_in_a_row": slot.crashes,
-                            "last_crash": slot.last_crash,
-                            "starts_in_s": round(slot.start_s - now, 3)
-                            if slot.state is core.SlotState.WAITING
-                            else None,
-                        }
-                        for slot in generation.slots
-                    ],
-                }
-                for generation in self.core.generations.values()
-            ],
-            "instances": [self._instance_status(worker, now) for worker in self.core.workers.values()],
-        }
-
-    def _nodes_status(self, generation: int) -> Message:
-        nodes = self.nodes.get(generation)
-        if nodes is None:
-            return {}
-        age = (now_ms() - nodes.heard_ms) / 1000
-        return {
-            "count": len(nodes.targets),
-            "rev": nodes.rev,
-            "age_s": round(age, 1),
-            "failure": nodes.failure,
-        }
-
-    def _instance_status(self, worker: core.Worker, now: float) -> Message:
-        process = self.processes.get(worker.id)
-        started = process.process if process is not None else None
-        last = process.last if process is not None else {}
-        return {
-            "worker": worker.id,
-            "generation": worker.generation,
-            "number": worker.number,
-            "pid": started.pid if started is not None else None,
-            "state": worker.state.value,
-            "age_s": round(now - worker.started_s, 1),
-            "heard_s": round(now - worker.heard_s, 2),
-            "in_flight": last.get("in_flight"),
-            "clients": last.get("clients"),
-            "rss_mb": last.get("rss_mb"),
-            "rev": last.get("rev"),
-        }
-
 
 def limits(config: Config) -> core.Limits:
     start, drain = config.start, config.drain
--- a/flintlatch/fleet/worker.py
+++ b/flintlatch/fleet/worker.py
@@ -132,7 +132,8 @@
         if engine is None or frontend is None or not self.accepting:
             self.ended.set()
             return
-        frontend.stop_keeping()
+        # Who asks on a connection of before hears of the address, not of this process.
+        frontend.stop_keeping(served_on=not last)
         if not last:
             frontend.stop_accepting()
         idle = self.loop.create_task(asyncio.sleep(self.config.drain.idle_s))
--- /dev/null
+++ b/flintlatch/http/__init__.py
@@ -0,0 +1,20 @@
+"""Ordinary HTTP for installations other than the platform's. So far its core: framing, fields and rules.
+
+No module here does I/O. Sources: RFC 9110 (semantics), RFC 9112 (HTTP/1.1), RFC 7239 (Forwarded).
+"""
+
+from flintlatch.http.body import Body
+from flintlatch.http.framing import Framing, Kind, Malformed
+from flintlatch.http.head import Limits, RequestHead, ResponseHead, read_request_head, read_response_head
+
+__all__ = [
+    "Body",
+    "Framing",
+    "Kind",
+    "Limits",
+    "Malformed",
+    "RequestHead",
+    "ResponseHead",
+    "read_request_head",
+    "read_response_head",
+]
--- /dev/null
+++ b/flintlatch/http/rules.py
@@ -0,0 +1,144 @@
+"""From an ordinary request to what the decision module must know of it: class, tenant, key, budget and id.
+
+The first rule that fits gives the class. Where the configuration is silent GET, HEAD and OPTIONS are safe,
+and everything else is unsafe (RFC 9110 section 9.2.1).
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import NamedTuple
+from zlib import crc32
+
+from flintlatch.api import Effect, RequestClass
+from flintlatch.http.framing import Malformed, values
+from flintlatch.http.head import RequestHead
+
+SAFE_METHODS = frozenset((b"GET", b"HEAD", b"OPTIONS"))
+ID = re.compile(rb"[!-~]{1,128}")
+KEY = re.compile(rb"[!-~]{1,256}")
+BUDGET = re.compile(rb"[0-9]{1,9}")
+
+
+@dataclass(frozen=True, slots=True)
+class Rule:
+    """Fits a request that has all of what is named; what is empty fits any."""
+
+    cls: int
+    path: bytes = b""  # with "*" at its end a prefix
+    methods: frozenset[bytes] = frozenset()
+    host: bytes = b""  # without the port, in lower case; "*.example.org" fits one label or more before it
+    header: tuple[bytes, bytes] = (b"", b"")  # name in lower case, and the value that it must have
+
+    def fits(self, head: RequestHead, path: bytes) -> bool:
+        if self.methods and head.method not in self.methods:
+            return False
+        if self.path.endswith(b"*"):
+            if not path.startswith(self.path[:-1]):
+                return False
+        elif self.path and path != self.path:
+            return False
+        if self.host and not host_fits(self.host, head.host):
+            return False
+        name, value = self.header
+        return not name or value in values(head.fields, name)
+
+
+def host_fits(pattern: bytes, host: bytes) -> bool:
+    name = host.lower()
+    if not name.startswith(b"["):
+        name = name.partition(b":")[0].rstrip(b".")
+    if pattern.startswith(b"*."):
+        return name.endswith(pattern[1:]) and len(name) > len(pattern) - 1
+    return name == pattern
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """Fields by which a client may say more, in lower case; an empty one is not read."""
+
+    id: bytes = b"x-call-id"
+    budget: bytes = b"x-budget-ms"
+    key: bytes = b"idempotency-key"
+    tenant: bytes = b"x-caller"
+    route: bytes = b"x-route-hash"
+
+
+class Read(NamedTuple):
+    """What the decision module and the engine need of a request."""
+
+    id: bytes
+    cls: int
+    tenant: int
+    key: int | None  # for servers that do less work for a key met lately
+    budget_ms: float
+    effect: Effect
+
+
+class Rules:
+    def __init__(
+        self,
+        classes: Sequence[RequestClass],
+        rules: Sequence[Rule],
+        tenants: dict[bytes, int],
+        names: Names,
+        make_id: Callable[[], bytes],
+        safe_class: int | None = None,
+        other_class: int | None = None,
+    ) -> None:
+        """`safe_class` and `other_class` take what no rule fits, by method; None answers it 404."""
+        self.classes, self.rules, self.tenants = tuple(classes), tuple(rules), dict(tenants)
+        self.names, self.make_id = names, make_id
+        self.safe_class, self.other_class = safe_class, other_class
+
+    def read(self, head: RequestHead) -> Read:
+        """Raises Malformed with 400 or 404."""
+        cls = self._class(head)
+        spec = self.classes[cls]
+        if spec.effect is Effect.KEYED and not self._one(head, self.names.key, KEY):
+            raise Malformed(400, f"{self.names.key.decode()} is missing")
+        route = self._one(head, self.names.route, KEY)
+        return Read(
+            self._one(head, self.names.id, ID) or self.make_id(),
+            cls,
+            self._tenant(head),
+            crc32(route) if route else None,
+            self._budget(head, spec),
+            spec.effect,
+        )
+
+    def _class(self, head: RequestHead) -> int:
+        path = head.target.partition(b"?")[0]
+        for rule in self.rules:
+            if rule.fits(head, path):
+                return rule.cls
+        silent = self.safe_class if head.method in SAFE_METHODS else self.other_class
+        if silent is None:
+            raise Malformed(404, "no rule fits")
+        return silent
+
+    def _one(self, head: RequestHead, name: bytes, form: re.Pattern[bytes]) -> bytes:
+        """The field's one value; empty if it is not there or not read."""
+        found = values(head.fields, name) if name else []
+        if len(found) > 1:
+            raise Malformed(400, f"{name.decode()} more than once")
+        if found and form.fullmatch(found[0]) is None:
+            raise Malformed(400, f"{name.decode()}: {found[0][:40]!r}")
+        return found[0] if found else b""
+
+    def _budget(self, head: RequestHead, spec: RequestClass) -> float:
+        """What the client gives, and never more than the class does."""
+        given = self._one(head, self.names.budget, BUDGET)
+        if given and int(given) == 0:
+            raise Malformed(400, f"{self.names.budget.decode()}: 0")
+        return min(float(given), spec.deadline_ms) if given else spec.deadline_ms
+
+    def _tenant(self, head: RequestHead) -> int:
+        if not self.tenants:
+            return 0
+        tenant = self.tenants.get(self._one(head, self.names.tenant, KEY))
+        if tenant is None:
+            raise Malformed(400, f"{self.names.tenant.decode()} names no tenant")
+        return tenant
--- /dev/null
+++ b/flintlatch/http/transfer.py
@@ -0,0 +1,209 @@
+"""A body on its way from one side to the other: what may be read, what is held, and who keeps it waiting.
+
+No I/O and no clock: the shell reports bytes with the time, obeys `may_read`, and asks `stalled` now and
+then. At each moment one side is waited for: the sink while bytes are held for it, else the source. Time
+counts against that side alone, so a node is not blamed for a client that crawls, nor the other way round.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+RESUME_PART = 0.5  # part of the cap below which reading goes on: at each byte, it would flutter
+LEAST_READ = 1  # bytes: a pipe that may read at all may read this much
+
+
+class Side(Enum):
+    CLIENT = "client"
+    NODE = "node"
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """What one side owes while it is waited for."""
+
+    idle_s: float  # longest time without a byte
+    least_bytes_per_s: float  # over `window_s` of waiting for it; 0 asks for none
+    window_s: float = 10.0
+
+    def __post_init__(self) -> None:
+        for name in ("idle_s", "window_s"):
+            if not getattr(self, name) > 0:
+                raise ValueError(f"{name} must be above 0")
+        if not self.least_bytes_per_s >= 0:
+            raise ValueError("least_bytes_per_s must not be negative")
+
+
+class Stall(Enum):
+    """How a transfer that no side moves any more ends; each names the side to blame."""
+
+    CLIENT_SENDS_NOT = "client stalls in its upload"  # 408 while there is no answer, else an abort
+    CLIENT_READS_NOT = "client does not read its answer"  # an abort: the answer has begun
+    NODE_READS_NOT = "node does not read the upload"  # 504 if no attempt may follow
+    NODE_SENDS_NOT = "node stalls in its answer"  # an abort: the answer has begun
+
+    @property
+    def side(self) -> Side:
+        return Side.CLIENT if self in (Stall.CLIENT_SENDS_NOT, Stall.CLIENT_READS_NOT) else Side.NODE
+
+
+class _Wait:
+    """The time that was spent waiting for one side, and what it moved in that time."""
+
+    def __init__(self, pace: Pace) -> None:
+        self.pace = pace
+        self.idle_s = self.window_s = 0.0
+        self.bytes = 0
+
+    def waited(self, seconds: float) -> None:
+        self.idle_s += seconds
+        self.window_s += seconds
+
+    def moved(self, count: int) -> None:
+        self.idle_s = 0.0
+        self.bytes += count
+
+    def too_slow(self) -> bool:
+        pace = self.pace
+        if self.idle_s >= pace.idle_s:
+            return True
+        if self.window_s < pace.window_s:
+            return False
+        slow = self.bytes < pace.least_bytes_per_s * self.window_s
+        # The next window begins with half of this one: a short burst must not pay for a long crawl.
+        self.window_s, self.bytes = self.window_s / 2, self.bytes // 2
+        return slow
+
+
+class Pipe:
+    """One direction. `cap`: bytes held at most, in this process and for this pipe; a read may go over it by
+    no more than the shell reads at once, and so the shell reads no more than `room`."""
+
+    def __init__(self, source: Side, cap: int, source_pace: Pace, sink_pace: Pace, now_s: float) -> None:
+        if cap < LEAST_READ:
+            raise ValueError(f"cap must be at least {LEAST_READ}")
+        self.source, self.cap = source, cap
+        self.arrived_bytes = self.taken_bytes = 0
+        self.most_held = 0
+        self.source_ended = False
+        self._reading = True
+        self._now_s = now_s
+        self._from, self._to = _Wait(source_pace), _Wait(sink_pace)
+
+    @property
+    def held(self) -> int:
+        return self.arrived_bytes - self.taken_bytes
+
+    @property
+    def done(self) -> bool:
+        return self.source_ended and not self.held
+
+    @property
+    def room(self) -> int:
+        return 0 if self.source_ended else self.cap - self.held
+
+    @property
+    def may_read(self) -> bool:
+        """Whether the source should be read: paused at the cap, and resumed at half of it."""
+        if self.source_ended or self.held >= self.cap:
+            self._reading = False
+        elif self.held <= self.cap * RESUME_PART:
+            self._reading = True
+        return self._reading
+
+    def arrived(self, now_s: float, count: int) -> None:
+        """So many bytes came from the source. Raises ValueError beyond `room`: the cap is a promise."""
+        if count > self.room:
+            raise ValueError(f"{count} bytes, and room for {self.room}")
+        self._pass(now_s)
+        self._from.moved(count)
+        self.arrived_bytes += count
+        self.most_held = max(self.most_held, self.held)
+
+    def taken(self, now_s: float, count: int) -> None:
+        """So many of the bytes held went out to the sink."""
+        if count > self.held:
+            raise ValueError(f"{count} bytes, and {self.held} held")
+        self._pass(now_s)
+        self._to.moved(count)
+        self.taken_bytes += count
+
+    def ended(self, now_s: float) -> None:
+        """The source has sent all."""
+        self._pass(now_s)
+        self.source_ended = True
+
+    def stalled(self, now_s: float) -> Stall | None:
+        """Who is to blame, if a side has been waited for too long."""
+        self._pass(now_s)
+        if self.done:
+            return None
+        if self.held:
+            if self._to.too_slow():
+                upload = self.source is Side.CLIENT
+                return Stall.NODE_READS_NOT if upload else Stall.CLIENT_READS_NOT
+        elif self._from.too_slow():
+            return Stall.CLIENT_SENDS_NOT if self.source is Side.CLIENT else Stall.NODE_SENDS_NOT
+        return None
+
+    def _pass(self, now_s: float) -> None:
+        seconds, self._now_s = now_s - self._now_s, now_s
+        if not self.done:
+            (self._to if self.held else self._from).waited(seconds)
+
+
+class Budget:
+    """Bytes that the bodies of all connections may hold together."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.used = self.most_used = 0
+
+    def reserve(self, count: int) -> bool:
+        """Take a pipe's cap out of the budget; false if it does not hold so much, and nothing is taken."""
+        if self.used + count > self.most:
+            return False
+        self.used += count
+        self.most_used = max(self.most_used, self.used)
+        return True
+
+    def release(self, count: int) -> None:
+        if count > self.used:
+            raise ValueError(f"{count} bytes given back, and {self.used} are out")
+        self.used -= count
+
+
+class Replay:
+    """A request's body while it may have to be sent again: kept whole up to a cap, and let go beyond it."""
+
+    def __init__(self, cap: int) -> None:
+        self.cap = cap
+        self.size = 0
+        self.kept = True  # all that came is here
+        self.complete = False  # and no more comes
+        self._pieces: list[bytes] = []
+
+    def add(self, piece: bytes) -> None:
+        if self.complete:
+            raise ValueError("a piece behind the end of the body")
+        self.size += len(piece)
+        if self.kept and self.size <= self.cap:
+            self._pieces.append(piece)
+        else:
+            self.let_go()
+
+    def end(self) -> None:
+        self.complete = True
+
+    def let_go(self) -> None:
+        """From here on the request can't be sent again."""
+        self.kept = False
+        self._pieces.clear()
+
+    def pieces(self) -> Iterator[bytes]:
+        """From the first byte on, for another attempt. Raises ValueError once it was let go."""
+        if not self.kept:
+            raise ValueError("the body was let go")
+        return iter(tuple(self._pieces))
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -274,6 +274,7 @@
         self.held = 0  # descriptors of clients, those just accepted and those just closing included
         self.opening: set[asyncio.Task[object]] = set()
         self.stopping = self.accepting = False
+        self.served_on = False  # stopping, and others serve at the same address
         self.empty = asyncio.Event()
         self.socks: list[socket.socket] = []
         self.address = ""  # where it listens, the first if on several
@@ -292,7 +293,7 @@
         self._sweep()
 
     def ready(self) -> bool:
-        return not self.stopping and self.engine.backends.active() > 0
+        return (not self.stopping or self.served_on) and self.engine.backends.active() > 0
 
     def put(self, client: Client, places: dict[Client, float] | None) -> None:
         if places is self.waiting and client.places is places:
@@ -404,9 +405,10 @@
 
     # Stopping
 
-    def stop_keeping(self) -> None:
-        """Unready from now on. Connections are accepted and served still, and closed after each answer."""
-        self.stopping = True
+    def stop_keeping(self, served_on: bool = False) -> None:
+        """Unready from now on, unless others serve at the same address. Connections are accepted and served
+        still, and closed after each answer."""
+        self.stopping, self.served_on = True, served_on
 
     def accept_waiting(self) -> None:
         """Take all connections that wait in the kernel's queue, whatever the share of one turn; no more than
--- /dev/null
+++ b/tests/http/test_transfer.py
@@ -0,0 +1,162 @@
+"""Bodies on their way: the cap holds whatever the two sides do, and only who is waited for is blamed."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from flintlatch.http.transfer import Budget, Pace, Pipe, Replay, Side, Stall
+
+FAST = Pace(idle_s=5.0, least_bytes_per_s=0)
+STEADY = Pace(idle_s=5.0, least_bytes_per_s=100, window_s=10)
+
+
+def download(client: Pace = FAST, node: Pace = FAST, cap: int = 1000) -> Pipe:
+    return Pipe(Side.NODE, cap, node, client, 0.0)
+
+
+def test_a_fast_node_is_held_back_by_a_crawling_client() -> None:
+    pipe, now, sent = download(), 0.0, 0
+    while sent < 1_000_000:
+        now += 0.01
+        if pipe.may_read:
+            sent += pipe.room
+            pipe.arrived(now, pipe.room)
+        pipe.taken(now, min(200, pipe.held))
+        assert pipe.stalled(now) is None
+    assert pipe.most_held == 1000
+    pipe.ended(now)
+    pipe.taken(now, pipe.held)
+    assert pipe.done and pipe.taken_bytes == sent
+
+
+def test_reading_stops_at_the_cap_and_goes_on_at_half_of_it() -> None:
+    pipe = download()
+    pipe.arrived(1, 1000)
+    assert not pipe.may_read and pipe.room == 0
+    pipe.taken(2, 499)
+    assert not pipe.may_read
+    pipe.taken(3, 1)
+    assert pipe.may_read and pipe.room == 500
+
+
+def test_more_than_the_room_is_never_held() -> None:
+    pipe = download()
+    with pytest.raises(ValueError, match="room for 1000"):
+        pipe.arrived(1, 1001)
+    pipe.arrived(1, 5)
+    with pytest.raises(ValueError, match="5 held"):
+        pipe.taken(1, 6)
+
+
+@pytest.mark.parametrize(
+    ("source", "held", "stall", "side"),
+    [
+        (Side.CLIENT, 0, Stall.CLIENT_SENDS_NOT, Side.CLIENT),
+        (Side.CLIENT, 10, Stall.NODE_READS_NOT, Side.NODE),
+        (Side.NODE, 0, Stall.NODE_SENDS_NOT, Side.NODE),
+        (Side.NODE, 10, Stall.CLIENT_READS_NOT, Side.CLIENT),
+    ],
+)
+def test_who_moves_nothing_is_named(source: Side, held: int, stall: Stall, side: Side) -> None:
+    pipe = Pipe(source, 100, FAST, FAST, 0.0)
+    if held:
+        pipe.arrived(0.0, held)
+    assert pipe.stalled(4.9) is None
+    assert pipe.stalled(5.0) is stall and stall.side is side
+
+
+def test_a_node_is_not_blamed_for_the_time_in_which_the_client_was_waited_for() -> None:
+    pipe = download(client=Pace(60.0, 0), node=Pace(2.0, 0))
+    pipe.arrived(0.0, 1000)
+    pipe.taken(50.0, 1000)  # the client took 50 s over it
+    assert pipe.stalled(51.9) is None
+    assert pipe.stalled(52.0) is Stall.NODE_SENDS_NOT
+
+
+def test_a_byte_now_and_then_keeps_no_side_from_its_least_rate() -> None:
+    pipe, now = Pipe(Side.CLIENT, 1000, STEADY, FAST, 0.0), 0.0
+    found = None
+    while found is None and now < 60:
+        now += 1.0
+        pipe.arrived(now, 1)  # slow, yet never idle
+        pipe.taken(now, 1)
+        found = pipe.stalled(now)
+    assert found is Stall.CLIENT_SENDS_NOT and now == 10
+
+
+def test_one_that_keeps_the_rate_is_left_alone_for_hours_and_a_burst_does_not_pay_for_a_crawl() -> None:
+    pipe, now = Pipe(Side.CLIENT, 1000, STEADY, FAST, 0.0), 0.0
+    while now < 7200:
+        now += 1.0
+        pipe.arrived(now, 110)
+        pipe.taken(now, 110)
+        assert pipe.stalled(now) is None
+    for _ in range(100):
+        pipe.arrived(now, 1000)
+        pipe.taken(now, 1000)
+    crawl = now
+    while pipe.stalled(now) is None:
+        now += 1.0
+        pipe.arrived(now, 1)
+        pipe.taken(now, 1)
+        assert now < crawl + 120
+    assert now > crawl + 10
+
+
+@given(
+    st.integers(1, 5000),
+    st.lists(st.tuples(st.sampled_from(["arrive", "take", "look"]), st.floats(0, 1), st.floats(0, 2))),
+)
+def test_whatever_the_sides_do_the_cap_holds_and_no_byte_is_lost(
+    cap: int, steps: list[tuple[str, float, float]]
+) -> None:
+    pipe, now = Pipe(Side.CLIENT, cap, FAST, FAST, 0.0), 0.0
+    for what, part, seconds in steps:
+        now += seconds
+        if what == "arrive" and pipe.may_read:
+            pipe.arrived(now, int(part * pipe.room))
+        elif what == "take":
+            pipe.taken(now, int(part * pipe.held))
+        else:
+            stall = pipe.stalled(now)
+            if stall is not None:
+                assert stall.side is (Side.NODE if pipe.held else Side.CLIENT)
+        assert 0 <= pipe.held <= cap and pipe.most_held <= cap
+        assert pipe.may_read or pipe.held > 0  # one of the two can always go on
+    pipe.ended(now)
+    pipe.taken(now, pipe.held)
+    assert pipe.done and pipe.arrived_bytes == pipe.taken_bytes
+    assert pipe.stalled(now + 1e6) is None
+
+
+def test_a_budget_is_never_passed_and_gives_back_what_it_gave() -> None:
+    budget = Budget(100)
+    assert budget.reserve(60) and not budget.reserve(41) and budget.reserve(40)
+    budget.release(60)
+    assert budget.reserve(60) and budget.most_used == 100
+    with pytest.raises(ValueError, match="100 are out"):
+        budget.release(101)
+
+
+@pytest.mark.parametrize("size", [0, 1, 9, 10, 11, 50])
+def test_a_body_is_kept_up_to_the_replay_cap_and_let_go_beyond_it(size: int) -> None:
+    replay, data = Replay(10), bytes(range(size))
+    for place in range(0, size, 3):
+        replay.add(data[place : place + 3])
+    replay.end()
+    assert replay.kept is (size <= 10)
+    if replay.kept:
+        assert b"".join(replay.pieces()) == data == b"".join(replay.pieces())
+    else:
+        with pytest.raises(ValueError, match="let go"):
+            replay.pieces()
+    with pytest.raises(ValueError, match="behind the end"):
+        replay.add(b"x")
+
+
+@pytest.mark.parametrize("bad", [{"idle_s": 0}, {"window_s": 0}, {"least_bytes_per_s": -1}])
+def test_a_pace_that_means_nothing_is_refused(bad: dict[str, float]) -> None:
+    with pytest.raises(ValueError, match=next(iter(bad))):
+        Pace(**({"idle_s": 1, "least_bytes_per_s": 1} | bad))
