Serve ordinary HTTP with bodies passed on as they arrive, in bounded memory

Need: curl or a phone app behind another installation got 400 or 404, bodies were held whole, and only a 200 reached the client. Change: with an [http] table in the fleet's configuration its instances read ordinary HTTP, find class, tenant, key, budget and id by rules, and stream both ways tied by back-pressure. The decision module learns of one thing more, BodyGone: a request whose body was let go is never sent again. An answer begun ends whole or visibly broken; a stall is blamed on the side that was waited for. The bench of the fleet has the platform's single process beside it, and short runs of bench and demo are in the tests.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -10,6 +10,7 @@
 
 import argparse
 import asyncio
+import json
 import os
 import sys
 import tempfile
@@ -28,6 +29,7 @@
 RATE = 400.0  # requests a second: a third of a core for this process, so that its clock stays true
 PAUSE_S = (0.3, 3.0)  # between two blows
 KILL_PART = 0.4  # of all blows; the others are reloads
+LOADS = 3  # processes that ask, and 2 that answer: the machine's other cores are the instances'
 TICK_HZ = os.sysconf("SC_CLK_TCK")
 
 
@@ -96,7 +98,8 @@
 
 
 async def load(address: str, seed: int, seconds: float, connections: int) -> None:
-    """Closed loop on kept connections; prints requests and errors."""
+    """Closed loop on kept connections; prints requests and errors. Purchases: the class that is worth most is
+    never shed, so what is measured is work done and not work refused."""
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     until = loop.time() + seconds
@@ -108,8 +111,8 @@
         while loop.time() < until:
             sent += 1
             writer.write(
-                b"GET /answer/1 HTTP/1.1\r\nHost: x\r\nX-Budget-Ms: 900\r\n"
-                b"X-Call-Id: %x-%x-%x\r\n\r\n" % (seed, number, sent)
+                b"POST /purchase/1 HTTP/1.1\r\nHost: x\r\nX-Budget-Ms: 2400\r\nContent-Length: 0\r\n"
+                b"X-Call-Id: %x-%x-%x\r\nIdempotency-Key: %x\r\n\r\n" % (seed, number, sent, sent)
             )
             head = await reader.readuntil(b"\r\n\r\n")
             length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r")[0])
@@ -139,6 +142,55 @@
     )
 
 
+async def drive(
+    address: str, pids: list[int], loads: int, seconds: float, seed: int
+) -> tuple[float, float, int]:
+    """Requests a second, of these a second of the processes' CPU, and errors."""
+    before = sum(map(cpu_s, pids))
+    runs = [
+        await child("--load", address, "--seed", str(seed + n), "--seconds", str(seconds))
+        for n in range(loads)
+    ]
+    outputs = [(await run.communicate())[0].decode().split() for run in runs]
+    used = sum(map(cpu_s, pids)) - before
+    good, bad = (sum(int(output[n]) for output in outputs) for n in (0, 1))
+    return good / seconds, good / max(used, 0.01), bad
+
+
+async def measure_one(
+    nodes: list[str], loads: int, seconds: float, folder: Path, seed: int
+) -> tuple[float, float, int]:
+    """The same of the platform's start: one process, no supervisor, a socket of its own."""
+    targets = [
+        {"uid": f"n{n}", "endpoint": address, "state": "active", "boot_ms": 0}
+        for n, address in enumerate(nodes)
+    ]
+    lane = {"Name": "purchase", "AimMs": 800, "HardLimitMs": 2400, "Effect": "idempotency_key"}
+    lane |= {"KeyScope": "all", "KeyTtlMs": 10_000}
+    config = {
+        "name": "one",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "1",
+        "limits": {"sockets": 512},
+        "known": {"rev": 1, "all": True, "targets": targets},
+        "settings": {"Lanes": [lane], "Discovery": "push", "Limits": {"MayCancel": True, "MostTries": 3}},
+    }
+    path = folder / "one.json"
+    path.write_text(json.dumps(config))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "flintlatch", env=dict(os.environ) | {"LB_CONFIG": str(path)},
+        stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    assert process.stderr is not None
+    address = (await process.stderr.readline()).decode().split()[-1]
+    try:
+        return await drive(address, [process.pid], loads, seconds, seed)
+    finally:
+        process.kill()
+        await process.wait()
+
+
 async def measure(
     instances: int, nodes: list[str], loads: int, seconds: float, folder: Path, seed: int
 ) -> tuple[float, float, int]:
@@ -154,19 +206,12 @@
     try:
         await (await fleet.start()).ready_by_status()
         pids = [one["pid"] for one in (await fleet.status())["instances"]]
-        before = sum(map(cpu_s, pids))
-        runs = [
-            await child("--load", fleet.address, "--seed", str(seed + n), "--seconds", str(seconds))
-            for n in range(loads)
-        ]
-        outputs = [(await run.communicate())[0].decode().split() for run in runs]
-        used = sum(map(cpu_s, pids)) - before
+        found = await drive(fleet.address, pids, loads, seconds, seed)
         await fleet.stop()
     finally:
         await fleet.close()
         registry.close()
-    good, bad = (sum(int(output[n]) for output in outputs) for n in (0, 1))
-    return good / seconds, good / max(used, 0.01), bad
+    return found
 
 
 async def throughput(seed: int, seconds: float, folder: Path) -> int:
@@ -176,15 +221,20 @@
         for node in nodes:
             assert node.stdout is not None
             addresses.append((await node.stdout.readline()).decode().strip())
-        base, worst = 0.0, 0
-        for instances in (1, 2, 4, 8):
-            rate, per_cpu, bad = await measure(instances, addresses, 3, seconds, folder, seed)
-            base, worst = base or rate, max(worst, bad)
+        base, rate, per_cpu, bad = 0.0, 0.0, 0.0, 0
+        for instances in (0, 1, 2, 4, 8):
+            if instances:
+                rate, per_cpu, bad = await measure(instances, addresses, LOADS, seconds, folder, seed)
+            else:
+                rate, per_cpu, bad = await measure_one(addresses, LOADS, seconds, folder, seed)
+                base = rate
+            who = f"{instances} instances" if instances else "one process"
             print(
-                f"{instances} instances: {rate:7.0f} requests/s, {rate / base:4.2f} of one, "
-                f"{per_cpu:6.0f} requests a second of their CPU, {bad} not served"
+                f"{who}: {rate:7.0f} requests/s, {rate / base:4.2f} of one process, "
+                f"{per_cpu:6.0f} requests a second of their CPU, {bad} not served",
+                flush=True,
             )
-        print(f"throughput seed {seed}: 8 instances serve {rate / base:.2f} times what one does")
+        print(f"throughput seed {seed}: 8 instances serve {rate / base:.2f} times what one process does")
         return 0
     finally:
         for node in nodes:
--- a/flintlatch/api.py
+++ b/flintlatch/api.py
@@ -164,6 +164,12 @@
     delay: float
 
 
+class BodyGone(NamedTuple):
+    """A part of the request's body is no longer held: no attempt may follow the one that has it."""
+
+    request: str
+
+
 class ClientGone(NamedTuple):
     request: str
 
@@ -187,7 +193,10 @@
     token: int
 
 
-Event = Arrival | Outcome | StreamStarted | ClientGone | ServerList | ServiceMoved | ProbeResult | TimerFired
+Event = (
+    Arrival | Outcome | StreamStarted | BodyGone | ClientGone | ServerList | ServiceMoved | ProbeResult
+    | TimerFired
+)  # fmt: skip
 
 # Actions
 
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -17,8 +17,8 @@
 from zlib import crc32
 
 from flintlatch.api import (
-    NEVER_RAN, Action, Arrival, Cancel, ClientGone, Effect, Event, Fail, ListKind, Log, Outcome, Refuse,
-    RequestClass, Result, Scope, Send, ServerInfo, ServerList, ServerState, ServiceMoved, SetTimer,
+    NEVER_RAN, Action, Arrival, BodyGone, Cancel, ClientGone, Effect, Event, Fail, ListKind, Log, Outcome,
+    Refuse, RequestClass, Result, Scope, Send, ServerInfo, ServerList, ServerState, ServiceMoved, SetTimer,
     Settings, StreamStarted, TimerFired, Watch,
 )  # fmt: skip
 
@@ -147,6 +147,7 @@
         self.last_call = event.give_up  # the last moment to send it
         self.open = 0  # attempts without an outcome
         self.held = self.over = self.stream = False
+        self.sealed = False  # its body can't be sent again
 
     def first_run(self) -> Attempt | None:
         """The earliest attempt that may have run: what the class allows counts from it."""
@@ -259,6 +260,8 @@
                 self.on_moved(now)
             elif isinstance(event, StreamStarted):
                 self.on_stream(event)
+            elif isinstance(event, BodyGone) and (request := self.requests.get(event.request)) is not None:
+                request.sealed = True
         if self.bound:
             self.send_bound(now)
         self.dispatch(now)
@@ -611,7 +614,9 @@
         """Whether another attempt is allowed and of use if those so far may have run."""
         spec, ran = request.spec, request.first_run()
         usual = min(self.class_latency[request.cls][0], spec.aim_ms / 2)
-        if len(request.attempts) >= self.settings.most_attempts or now + usual > request.useful:
+        if request.sealed or len(request.attempts) >= self.settings.most_attempts:
+            return False
+        if now + usual > request.useful:
             return False
         if ran is None or spec.effect is Effect.SAFE:
             return True
--- a/flintlatch/config/__init__.py
+++ b/flintlatch/config/__init__.py
@@ -17,6 +17,7 @@
     ClassRow,
     DrainTable,
     FleetTable,
+    HttpTable,
     LimitsTable,
     NodesTable,
     StartTable,
@@ -24,6 +25,7 @@
     read_class,
     read_drain,
     read_fleet,
+    read_http,
     read_limits,
     read_nodes,
     read_start,
@@ -51,6 +53,7 @@
     nodes: NodesTable
     classes: tuple[ClassRow, ...]
     tenants: tuple[TenantRow, ...]
+    http: HttpTable | None  # None: the platform's protocol
 
     @property
     def control_path(self) -> str:
@@ -134,6 +137,7 @@
         raise Unusable([Problem(path, "file", str(error), "TOML (https://toml.io, version 1.0)")]) from None
     problems: list[Problem] = []
     top = Reader(path, "", raw, problems)
+    classes = tuple(map(read_class, top.subs("class", least=1)))
     config = Config(
         path=path,
         text=text,
@@ -142,8 +146,9 @@
         start=read_start(top.sub("start")),
         drain=read_drain(top.sub("drain")),
         nodes=read_nodes(top.sub("nodes")),
-        classes=tuple(map(read_class, top.subs("class", least=1))),
+        classes=classes,
         tenants=tuple(map(read_tenant, top.subs("tenant"))),
+        http=read_http(top.sub("http"), tuple(row.name for row in classes)) if "http" in raw else None,
     )
     unique(top, "class.name", [row.name for row in config.classes])
     unique(top, "tenant.name", [row.name for row in config.tenants])
--- a/flintlatch/config/tables.py
+++ b/flintlatch/config/tables.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from ipaddress import ip_network
 
 from flintlatch.api import Effect, RequestClass, Scope
 from flintlatch.config.reader import Reader, address
@@ -88,6 +89,44 @@
     max_retry_after_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class HttpRule:
+    """[[http.rule]]: the first that fits gives the class; what is empty fits any request."""
+
+    cls: str
+    path: str
+    methods: tuple[str, ...]
+    host: str
+    header: str
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class HttpTable:
+    """[http]: ordinary HTTP in place of the platform's protocol. Bytes, seconds."""
+
+    via: str
+    forwarded: str  # "forwarded", "x-forwarded" or "none"
+    trusted: tuple[str, ...]  # networks whose word on a request's origin is passed on
+    head_bytes: int
+    target_bytes: int
+    fields: int
+    body_bytes: int  # of one request's body
+    upload_bytes: int  # of it held at most: the replay cap
+    process_bytes: int  # that all bodies of an instance may hold
+    idle_s: float  # without a byte from the side that is waited for
+    least_bytes_per_s: float
+    window_s: float  # over which that rate is measured
+    safe_class: str  # of GET, HEAD and OPTIONS that no rule fits; empty: 404
+    other_class: str
+    id_header: str
+    budget_header: str
+    key_header: str
+    tenant_header: str
+    route_header: str
+    rules: tuple[HttpRule, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ClassRow:
     name: str
@@ -230,6 +269,71 @@
     return table
 
 
+def read_http_rule(reader: Reader, classes: tuple[str, ...]) -> HttpRule:
+    methods = reader.items("methods", 'methods such as ["GET"]')
+    for place, method in enumerate(methods):
+        if not isinstance(method, str) or not method.isascii() or not method.isupper():
+            reader.problem(f"methods[{place}]", repr(method), "a method in capitals")
+    rule = HttpRule(
+        cls=reader.choice("class", classes),
+        path=reader.text("path", "*", 'a path such as "/deck/*"'),
+        methods=tuple(m for m in methods if isinstance(m, str)),
+        host=reader.text("host", "*", 'a host such as "*.example.org"').lower(),
+        header=reader.text("header", "-").lower(),
+        value=reader.text("value", "-"),
+    )
+    if ("header" in reader.table) != ("value" in reader.table):
+        reader.problem("value", "", "header and value together, or neither")
+    if not rule.path.startswith("/") and rule.path != "*":
+        reader.problem("path", repr(rule.path), 'a path that starts with "/"')
+    reader.done()
+    return rule
+
+
+def read_http(reader: Reader, classes: tuple[str, ...]) -> HttpTable:
+    trusted = reader.items("trusted", 'networks such as ["10.0.0.0/8"]')
+    for place, network in enumerate(trusted):
+        try:
+            ip_network(network if isinstance(network, str) else "")
+        except ValueError:
+            reader.problem(f"trusted[{place}]", repr(network), 'a network such as "10.0.0.0/8"')
+    silent = ("", *classes)
+
+    def default(name: str) -> str:
+        good = reader.table.get(name, "") in silent
+        return reader.choice(name, classes if not good or reader.table.get(name) else silent, "")
+
+    def header(name: str, usual: str) -> str:
+        return reader.name(name, usual).lower()
+
+    table = HttpTable(
+        via=reader.name("via", "flintlatch"),
+        forwarded=reader.choice("forwarded", ("forwarded", "x-forwarded", "none"), "forwarded"),
+        trusted=tuple(n for n in trusted if isinstance(n, str)),
+        head_bytes=reader.whole("head_bytes", 1024, 1 << 20, 32 * 1024),
+        target_bytes=reader.whole("target_bytes", 256, 1 << 20, 8 * 1024),
+        fields=reader.whole("fields", 8, 10_000, 128),
+        body_bytes=reader.whole("body_bytes", 0, 1 << 50, 1 << 31),
+        upload_bytes=reader.whole("upload_bytes", 1024, 1 << 30, 64 * 1024),
+        process_bytes=reader.whole("process_bytes", 1 << 20, 1 << 40, 128 << 20),
+        idle_s=reader.number("idle_s", 0.1, DAY_S, 30),
+        least_bytes_per_s=reader.number("least_bytes_per_s", 0, 1e9, 0),
+        window_s=reader.number("window_s", 1, DAY_S, 10),
+        safe_class=default("safe_class"),
+        other_class=default("other_class"),
+        id_header=header("id_header", "x-call-id"),
+        budget_header=header("budget_header", "x-budget-ms"),
+        key_header=header("key_header", "idempotency-key"),
+        tenant_header=header("tenant_header", "x-caller"),
+        route_header=header("route_header", "x-route-hash"),
+        rules=tuple(read_http_rule(row, classes) for row in reader.subs("rule")),
+    )
+    if not table.rules and not table.safe_class and not table.other_class:
+        reader.problem("rule", "", "a rule, safe_class or other_class: without any, no request is served")
+    reader.done()
+    return table
+
+
 def read_class(reader: Reader) -> ClassRow:
     effect = Effect(reader.choice("effect", ("safe", "keyed", "unsafe"), "unsafe"))
     window = reader.number("window_ms", 0, 86_400_000, 0)
--- a/flintlatch/fleet/worker.py
+++ b/flintlatch/fleet/worker.py
@@ -97,10 +97,17 @@
         sockets = limits.sockets if hard == resource.RLIM_INFINITY else min(limits.sockets, hard)
         resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, hard))
         to_backends, to_clients = share_out(sockets)
-        settings, wire = self.config.settings(number), self.config.wire()
+        settings, wire, seed = self.config.settings(number), self.config.wire(), int(message["seed"])
         self.socks = [socket.socket(fileno=fd) for fd in message["listeners"]]
-        self.engine = Engine(settings, wire, int(message["seed"]), to_backends)
-        self.frontend = Frontend(self.engine, Reader(settings, wire), to_clients, ACCEPT_SHARED)
+        if self.config.http is not None:
+            from flintlatch.http.build import build  # only where it is wanted
+
+            self.engine, self.frontend = build(
+                self.config, self.config.http, number, seed, to_backends, to_clients, ACCEPT_SHARED
+            )
+        else:
+            self.engine = Engine(settings, wire, seed, to_backends)
+            self.frontend = Frontend(self.engine, Reader(settings, wire), to_clients, ACCEPT_SHARED)
         self.take_list(message["list"])
         self.beat(self.config.start.watchdog_s / BEATS)
 
--- a/flintlatch/http/transfer.py
+++ b/flintlatch/http/transfer.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections import deque
 from dataclasses import dataclass
 from enum import Enum
 
@@ -175,35 +175,78 @@
         self.used -= count
 
 
-class Replay:
-    """A request's body while it may have to be sent again: kept whole up to a cap, and let go beyond it."""
+class Upload:
+    """A request's body on its way to whichever node gets it. Held whole up to `cap`, so that another attempt
+    may begin anew; beyond that, what an attempt has taken is let go for good.
+
+    Of what is not yet taken no more than `cap` bytes are held; `room` says how much may be read."""
 
     def __init__(self, cap: int) -> None:
         self.cap = cap
-        self.size = 0
-        self.kept = True  # all that came is here
-        self.complete = False  # and no more comes
-        self._pieces: list[bytes] = []
+        self.gone = False  # a part of it was let go: no attempt may begin
+        self.complete = False
+        self.total = 0
+        self._pieces: deque[bytes] = deque()
+        self._size = 0  # bytes in `_pieces`
+        self._next = 0  # of the pieces, which the attempt takes next
+        self._waiting = 0  # bytes from there on
+
+    @property
+    def held(self) -> int:
+        return self._size
+
+    @property
+    def waiting(self) -> int:
+        """Bytes that the attempt has not taken."""
+        return self._waiting
 
-    def add(self, piece: bytes) -> None:
+    @property
+    def room(self) -> int:
+        """Bytes that may come. With an attempt that takes them, what it took gives way."""
         if self.complete:
-            raise ValueError("a piece behind the end of the body")
-        self.size += len(piece)
-        if self.kept and self.size <= self.cap:
-            self._pieces.append(piece)
-        else:
-            self.let_go()
+            return 0
+        return self.cap - (self._waiting if self.gone or self._next else self._size)
+
+    def add(self, piece: bytes) -> bool:
+        """True if with it a part was let go just now. Raises ValueError beyond `room`."""
+        if len(piece) > self.room:
+            raise ValueError(f"{len(piece)} bytes, and room for {self.room}")
+        self._pieces.append(piece)
+        self._size += len(piece)
+        self._waiting += len(piece)
+        self.total += len(piece)
+        if not self.gone and self._size > self.cap:
+            self.gone = True
+            self._trim()
+            return True
+        return False
 
     def end(self) -> None:
         self.complete = True
 
-    def let_go(self) -> None:
-        """From here on the request can't be sent again."""
-        self.kept = False
-        self._pieces.clear()
+    def begin(self) -> None:
+        """A new attempt takes it from its first byte. Raises ValueError if that is not held any more."""
+        if self.gone:
+            raise ValueError("a part of the body was let go")
+        self._next, self._waiting = 0, self._size
 
-    def pieces(self) -> Iterator[bytes]:
-        """From the first byte on, for another attempt. Raises ValueError once it was let go."""
-        if not self.kept:
-            raise ValueError("the body was let go")
-        return iter(tuple(self._pieces))
+    def take(self) -> bytes | None:
+        """The next piece for the attempt; None if there is none yet, or no more."""
+        if self._next >= len(self._pieces):
+            return None
+        piece = self._pieces[self._next]
+        self._next += 1
+        self._waiting -= len(piece)
+        if self.gone:
+            self._trim()
+        return piece
+
+    @property
+    def taken(self) -> bool:
+        """The attempt has all of it."""
+        return self.complete and not self._waiting
+
+    def _trim(self) -> None:
+        for _ in range(self._next):
+            self._size -= len(self._pieces.popleft())
+        self._next = 0
--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -139,6 +139,8 @@
 
 
 class Backends:
+    make: Callable[[Backends, Backend], Connection] = Connection  # a front of another kind has its own
+
     def __init__(self, connect_timeout_ms: float, conn_idle_ms: float, most: int) -> None:
         self.connect_timeout_s, self.idle_ms = connect_timeout_ms / 1000, conn_idle_ms * IDLE_PART
         self.most = most  # connections, those being opened included
@@ -193,7 +195,7 @@
         if not self._make_room():
             attempt.end(Result.NO_ROOM)
             return
-        connection = Connection(self, backend)
+        connection = self.make(self, backend)
         connection.attempt, attempt.connection = attempt, connection
         self.connections.add(connection)
         backend.connecting.add(connection)
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -280,6 +280,9 @@
         self.address = ""  # where it listens, the first if on several
         self.sweeper: asyncio.TimerHandle | None = None
 
+    def make_client(self) -> Client:
+        return Client(self)
+
     def listen(self, address: str) -> None:
         self.serve_on([open_listener(address)])
 
@@ -342,7 +345,7 @@
                 self.put(victim, None)
                 victim.transport.abort() if victim.closing else victim.transport.close()
             self.held += 1
-            task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: Client(self), sock))
+            task = self.loop.create_task(self.loop.connect_accepted_socket(self.make_client, sock))
             self.opening.add(cast("asyncio.Task[object]", task))
             task.add_done_callback(self._opened)
             if victim is not None:
--- /dev/null
+++ b/tests/http/support.py
@@ -0,0 +1,148 @@
+"""The HTTP front in this process, and nodes that a test scripts byte by byte."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from itertools import count
+from typing import Any
+
+from flintlatch.api import Effect, RequestClass, ServerInfo, Settings
+from flintlatch.http.engine import HttpEngine
+from flintlatch.http.fields import Origin
+from flintlatch.http.front import HttpFrontend
+from flintlatch.http.head import Limits
+from flintlatch.http.rules import Names, Rule, Rules
+from flintlatch.http.transfer import Pace
+from flintlatch.net.discovery import Listing, Target
+from flintlatch.settings import Wire
+
+Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+CLASSES = (
+    RequestClass(5000, 20_000, Effect.SAFE),
+    RequestClass(5000, 20_000, Effect.UNSAFE),
+    RequestClass(5000, 20_000, Effect.KEYED, window_ms=10_000),
+)
+
+
+class ScriptedNode:
+    """Calls the handler with each connection; notes how many came and when each ended."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+        self.connections = 0
+        self.closed: asyncio.Queue[int] = asyncio.Queue()
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def open(self) -> ScriptedNode:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=2**20)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        number = self.connections
+        self.writers.append(writer)
+        try:
+            await self.handler(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+            self.closed.put_nowait(number)
+
+    def close(self) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+async def head_of(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
+    first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")[:-2]
+    return first, {k.lower(): v for k, v in (line.split(": ", 1) for line in lines)}
+
+
+def answering(reply: bytes) -> Handler:
+    """A node that reads heads and small bodies, and gives the same bytes to each."""
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            _, headers = await head_of(reader)
+            await reader.readexactly(int(headers.get("content-length", 0)))
+            writer.write(reply)
+            await writer.drain()
+
+    return handle
+
+
+class Front:
+    def __init__(self, engine: HttpEngine, frontend: HttpFrontend, nodes: list[ScriptedNode]) -> None:
+        self.engine, self.frontend, self.nodes = engine, frontend, nodes
+        self.url = f"http://{frontend.address}"
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, _, port = self.frontend.address.rpartition(":")
+        return await asyncio.open_connection(host, int(port), limit=2**20)
+
+    async def ask(self, raw: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await self.connect()
+        writer.write(raw)
+        return reader, writer
+
+    async def whole(self, raw: bytes) -> bytes:
+        """All that comes back until the proxy closes."""
+        reader, writer = await self.ask(raw)
+        try:
+            return await reader.read()
+        except ConnectionError:
+            return b"(reset)"
+        finally:
+            writer.close()
+
+
+@asynccontextmanager
+async def front(*handlers: Handler, **changes: Any) -> AsyncIterator[Front]:
+    """`changes`: classes, limits, pace, upload_bytes, most_body, origin, attempts."""
+    nodes = [await ScriptedNode(handler).open() for handler in handlers]
+    settings = Settings(
+        changes.get("classes", CLASSES),
+        most_attempts=changes.get("attempts", 3),
+        may_cancel=True,
+        retry_after=True,
+    )
+    wire = Wire({}, {}, {"a": 0}, {"m": 0}, 5000.0, 15_000.0)
+    engine = HttpEngine(settings, wire, 1, 200, changes.get("body_bytes", 2**28))
+    targets = [Target(f"n{i}", "127.0.0.1", node.port, ServerInfo(f"n{i}")) for i, node in enumerate(nodes)]
+    engine.on_list(Listing(1, True, tuple(targets)))
+    ids = count()
+    rules = Rules(
+        settings.classes,
+        [Rule(2, path=b"/buy/*")],
+        {},
+        Names(),
+        lambda: b"made-%d" % next(ids),
+        safe_class=0,
+        other_class=1,
+    )
+    frontend = HttpFrontend(
+        engine,
+        rules,
+        200,
+        16,
+        limits=changes.get("limits", Limits()),
+        origin=changes.get("origin", Origin()),
+        pace=changes.get("pace", Pace(10.0, 0)),
+        upload_bytes=changes.get("upload_bytes", 64 * 1024),
+        most_body=changes.get("most_body", 2**31),
+    )
+    frontend.listen("127.0.0.1:0")
+    try:
+        yield Front(engine, frontend, nodes)
+    finally:
+        await frontend.finish(0.0)
+        for client in list(frontend.clients):
+            client.transport.abort()
+        engine.close()
+        for node in nodes:
+            node.close()
--- /dev/null
+++ b/tests/http/test_fleet.py
@@ -0,0 +1,86 @@
+"""Ordinary HTTP through a real fleet: configured, streamed, and drained by a reload."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from pathlib import Path
+
+import httpx
+import pytest
+
+from flintlatch.config import Unusable, parse
+from flintlatch.http.build import rules_of
+from flintlatch.http.head import read_request_head
+from flintlatch.standin.rig import configuration
+from tests.fleet.support import LIMIT_S, daemon, run
+from tests.http.support import ScriptedNode, head_of
+
+HTTP = {"safe_class": "answer", "other_class": "grade", "idle_s": 20.0}
+RULE = '\n[[http.rule]]\nclass = "purchase"\npath = "/buy/*"\nmethods = ["POST"]\n'
+
+
+def test_the_table_is_read_and_its_faults_are_named() -> None:
+    config = parse(configuration("127.0.0.1:1", http=HTTP) + RULE, "f.toml")
+    assert config.http is not None
+    rules = rules_of(config, config.http, 7)
+    head = read_request_head(b"POST /buy/1 HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\n\r\n")
+    assert (rules.read(head).cls, rules.read(head).id) == (1, b"7-2")
+    for change, words in (
+        ({"safe_class": "none"}, "http.safe_class: found 'none', expected one of \"answer\""),
+        ({"trusted": ["10.0.0.1/8"]}, "http.trusted[0]: found '10.0.0.1/8'"),
+        ({"colour": 1}, "http.colour: found 1, expected no such key"),
+        ({"upload_bytes": 3}, "http.upload_bytes: found 3"),
+    ):
+        with pytest.raises(Unusable, match="f.toml") as caught:
+            parse(configuration("127.0.0.1:1", http=HTTP | change), "f.toml")
+        assert words in str(caught.value)
+    with pytest.raises(Unusable, match="no request is served"):
+        parse(configuration("127.0.0.1:1", http={}), "f.toml")
+    with pytest.raises(Unusable, match='http.rule.0..path: found .buy.*expected a path that starts with "/"'):
+        parse(configuration("127.0.0.1:1", http=HTTP) + RULE.replace("/buy/*", "buy"), "f.toml")
+
+
+def test_a_transfer_that_runs_while_the_generation_changes_ends_whole(tmp_path: Path) -> None:
+    block, blocks, go_on = b"0123456789abcdef" * 4096, 160, asyncio.Event()
+
+    async def node(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            line, headers = await head_of(reader)
+            await reader.readexactly(int(headers.get("content-length", 0)))
+            if not line.startswith("GET /export"):
+                writer.write(b"HTTP/1.1 201 Made\r\nContent-Length: 4\r\n\r\nmade")
+                continue
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for number in range(blocks):
+                if number == blocks // 2:
+                    await go_on.wait()
+                writer.write(b"%x\r\n%b\r\n" % (len(block), block))
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+
+    async def test() -> None:
+        async with daemon(tmp_path, 1, fleet={"instances": 2}) as made:
+            scripted = await ScriptedNode(node).open()
+            made.rig.registry.drop(made.rig.nodes[0])
+            made.rig.registry.put("n", f"127.0.0.1:{scripted.port}", "active")
+            made.rig.write(fleet={"instances": 2}, http=HTTP)
+            assert (await made.fleet.ask("reload"))["ok"]
+            url = f"http://{made.fleet.address}"
+            async with httpx.AsyncClient(base_url=url, timeout=LIMIT_S) as client:
+                reply = await client.put("/deck/7", content=b"x" * 300_000)
+                assert (reply.status_code, reply.content) == (201, b"made")
+                digest, got = hashlib.sha256(), 0
+                async with client.stream("GET", "/export") as answer:
+                    assert answer.status_code == 200
+                    async for data in answer.aiter_bytes():
+                        digest.update(data)
+                        got += len(data)
+                        if not go_on.is_set():
+                            assert (await made.fleet.ask("reload"))["ok"]
+                            go_on.set()
+                assert got == blocks * len(block)
+                assert digest.digest() == hashlib.sha256(block * blocks).digest()
+            scripted.close()
+
+    run(test())
--- a/tests/http/test_transfer.py
+++ b/tests/http/test_transfer.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from flintlatch.http.transfer import Budget, Pace, Pipe, Replay, Side, Stall
+from flintlatch.http.transfer import Budget, Pace, Pipe, Side, Stall, Upload
 
 FAST = Pace(idle_s=5.0, least_bytes_per_s=0)
 STEADY = Pace(idle_s=5.0, least_bytes_per_s=100, window_s=10)
@@ -140,20 +140,50 @@
         budget.release(101)
 
 
-@pytest.mark.parametrize("size", [0, 1, 9, 10, 11, 50])
-def test_a_body_is_kept_up_to_the_replay_cap_and_let_go_beyond_it(size: int) -> None:
-    replay, data = Replay(10), bytes(range(size))
+@pytest.mark.parametrize("size", [0, 1, 9, 10])
+def test_an_upload_within_the_cap_may_begin_anew(size: int) -> None:
+    upload, data = Upload(10), bytes(range(size))
     for place in range(0, size, 3):
-        replay.add(data[place : place + 3])
-    replay.end()
-    assert replay.kept is (size <= 10)
-    if replay.kept:
-        assert b"".join(replay.pieces()) == data == b"".join(replay.pieces())
-    else:
+        assert not upload.add(data[place : place + 3])
+    upload.end()
+    for _ in range(3):
+        upload.begin()
+        assert b"".join(iter(upload.take, None)) == data and upload.taken
+
+
+@given(st.integers(1, 50), st.lists(st.tuples(st.booleans(), st.floats(0, 1)), max_size=60))
+def test_an_upload_beyond_the_cap_is_let_go_and_never_more_is_held(
+    cap: int, steps: list[tuple[bool, float]]
+) -> None:
+    upload, sent, got, told = Upload(cap), b"", b"", 0
+    upload.begin()
+    for takes, part in steps:
+        if takes:
+            got += upload.take() or b""
+        elif size := int(part * upload.room):
+            piece = bytes(len(sent) + n & 255 for n in range(size))
+            sent += piece
+            told += upload.add(piece)
+        assert upload.waiting <= cap and upload.held <= 2 * cap
+        assert upload.gone is (told == 1) and told <= 1
+        assert upload.gone or upload.held == len(sent) <= cap
+    upload.end()
+    got += b"".join(iter(upload.take, None))
+    assert got == sent and upload.taken
+    if upload.gone:
         with pytest.raises(ValueError, match="let go"):
-            replay.pieces()
-    with pytest.raises(ValueError, match="behind the end"):
-        replay.add(b"x")
+            upload.begin()
+    else:
+        upload.begin()
+        assert b"".join(iter(upload.take, None)) == sent
+
+
+def test_an_upload_that_nobody_takes_is_held_back_at_the_cap() -> None:
+    upload = Upload(10)
+    upload.add(b"x" * 10)
+    assert upload.room == 0 and not upload.gone
+    with pytest.raises(ValueError, match="room for 0"):
+        upload.add(b"y")
 
 
 @pytest.mark.parametrize("bad", [{"idle_s": 0}, {"window_s": 0}, {"least_bytes_per_s": -1}])
--- /dev/null
+++ b/tests/test_bench.py
@@ -0,0 +1,21 @@
+"""A short run of each measurement and of the demo: they must not rot between long ones."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+RUNS = {
+    "fleet": ["-m", "bench.fleet", "--seed", "5", "--instances", "3", "--seconds", "4"],
+    "demo": ["-m", "flintlatch", "demo", "--seed", "5", "--instances", "2", "--seconds", "4"],
+}
+
+
+@pytest.mark.parametrize("name", RUNS)
+def test_it_holds_its_promises(name: str) -> None:
+    command = [sys.executable, *RUNS[name]]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=100, check=False)
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "held" in done.stdout.splitlines()[-1]
