Repeat a keyed request in the group in which it ran, also if the list moves the server

The module compared groups by what the list says of the first server now; a list that moves it to another cell between the two attempts let the repeat go where its key is not known. Change: an attempt remembers the zone and cell in which it ran, and so does the test's oracle. The http table of the configuration is read last, so problems come in the file's order.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -133,6 +133,7 @@
 class Attempt:
     def __init__(self, server: Server, sent: float) -> None:
         self.server, self.sent, self.open, self.maybe_ran = server, sent, True, True
+        self.zone, self.cell = server.zone, server.cell  # where it ran: a later list may move the server
 
 
 class Request:
@@ -477,7 +478,7 @@
             ran = request.first_run()
             if not request.held or ran is None:
                 continue
-            group = [s for s in self.active if same_group(request.spec.scope, s, ran.server)]
+            group = [s for s in self.active if same_group(request.spec.scope, s, ran)]
             group = [s for s in group if s.room(now, self.each)]
             if group and now < request.last_call:
                 request.held = False
@@ -777,7 +778,7 @@
     return mixed ^ mixed >> 32
 
 
-def same_group(scope: Scope, a: Server, b: Server) -> bool:
+def same_group(scope: Scope, a: Server, b: Attempt) -> bool:
     if scope is Scope.ALL:
         return True
     return a.zone == b.zone if scope is Scope.ZONE else a.cell == b.cell
--- a/flintlatch/config/__init__.py
+++ b/flintlatch/config/__init__.py
@@ -7,7 +7,7 @@
 
 import os
 import tomllib
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from flintlatch.api import Settings
@@ -137,7 +137,6 @@
         raise Unusable([Problem(path, "file", str(error), "TOML (https://toml.io, version 1.0)")]) from None
     problems: list[Problem] = []
     top = Reader(path, "", raw, problems)
-    classes = tuple(map(read_class, top.subs("class", least=1)))
     config = Config(
         path=path,
         text=text,
@@ -146,10 +145,13 @@
         start=read_start(top.sub("start")),
         drain=read_drain(top.sub("drain")),
         nodes=read_nodes(top.sub("nodes")),
-        classes=classes,
+        classes=tuple(map(read_class, top.subs("class", least=1))),
         tenants=tuple(map(read_tenant, top.subs("tenant"))),
-        http=read_http(top.sub("http"), tuple(row.name for row in classes)) if "http" in raw else None,
+        http=None,
     )
+    if "http" in raw:
+        names = tuple(row.name for row in config.classes) or ("",)
+        config = replace(config, http=read_http(top.sub("http"), names))
     unique(top, "class.name", [row.name for row in config.classes])
     unique(top, "tenant.name", [row.name for row in config.tenants])
     top.done()
