--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -479,7 +479,7 @@
         if self.sparse:
             self.learn_allow(request, server, result, delay)
         # Of few outcomes each counts for more, or one of many proxies would never tell servers apart.
-        step = max(PAYOFF_STEP, self.sparse / (1 + server.plays))
+        step = max(PAYOFF_STEP, self.many / (1 + server.plays))
         server.payoff += ((1.0 if won else 0.0) - server.payoff) * step
         if result is Result.OK:
             server.silent_from = now
@@ -766,7 +766,7 @@
         for server in self.active:
             server.plays *= PLAYS_KEEP
             if server.plays < 1:  # under light load a server once bad would otherwise never be drawn again
-                server.payoff += max(usual - server.payoff, 0.0) * (FORGET if self.sparse else 1)
+                server.payoff += max(usual - server.payoff, 0.0) * (FORGET if self.many else 1)
             server.rate, server.answered = (server.rate + server.answered / seconds) / 2, 0
             mine = not self.sparse or (server.zone == self.settings.zone and server in self.near)
             if server.cold_until <= now and server.latency and mine:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -143,3 +143,23 @@
     driver.step(ServerList(ListKind.FULL, tuple(fleet(40))))
     driver.beats(100)
     assert driver.sends[driver.arrive()]
+
+
+def test_two_failures_of_a_server_met_seldom_are_remembered_where_servers_know_keys() -> None:
+    """40 proxies before 60 servers: each meets one every few seconds, and its slow ones for as long as they are."""
+    sent = [0, 0]
+    for me in range(4):
+        driver = Driver(settings(proxies=40, me=me, warm_keys=True), *fleet(60), seed=me)
+        slow = driver.balancer.active[7]
+        for n in range(1200):  # 24 requests a second
+            request = driver.arrive(key=n * 7919 % 600)
+            server = driver.sends[request][0]
+            half = n // 600
+            if server == slow.id:
+                sent[half] += 1
+                driver.end(request, Result.TIMEOUT, delay=300.0, after=1.0)
+            else:
+                driver.end(request, after=1.0, delay=80.0)
+            driver.beat(40.0)
+    assert sent[0] >= 4  # it was met
+    assert sent[1] <= 16  # an even part would be 40
