--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -146,7 +146,7 @@
 
 
 def test_two_failures_of_a_server_met_seldom_are_remembered_where_servers_know_keys() -> None:
-    """40 proxies before 60 servers: each meets one every few seconds, and its slow ones for as long as they are."""
+    """40 proxies before 60 servers: each meets one every few seconds."""
     sent = [0, 0]
     for me in range(4):
         driver = Driver(settings(proxies=40, me=me, warm_keys=True), *fleet(60), seed=me)
