Let many proxies hold five requests at each server, and shift keys by the load that lists tell

(2) The six hottest keys are 15 to 20% of attempts and 24 to 33% of time-outs: a key meets two servers whatever its rate, and no proxy alone sees that they are full.

Change: FLOOR_OF_MANY, 5 requests of all, is the least limit of a server before many proxies. Where the settings say that weights are live, each list moves each server's share of its keys by (mean load / its load)^0.3; what it is not given goes to the next server of that key, the same from every proxy.

--- a/flintlatch/api.py
+++ b/flintlatch/api.py
@@ -93,6 +93,9 @@
     all_transfer_bytes: int = 1 << 60
     most_attempts: int = 1
     warm_keys: bool = False  # servers do less work for a key met recently
+    live_weights: bool = (
+        False  # a server's weight is its size / (1 + requests it holds a core), some time ago
+    )
     start_capacity: float = 1.0  # part of its capacity that a server starts with, at least
     cold_ms: float = 0.0  # a server is warm no later than this after its start
     fall_multiple: float = 2.0  # a cold server falls over when sent more than this times its capacity
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -47,6 +47,7 @@
 QUEUE_LOW, QUEUE_HIGH = 2.0, 4.0  # of all proxies, waiting inside a server: below, raise; above, lower
 CROWD = 1 / 5  # part of the aim that answers of one server may take on average before its limit is cut
 FLOOR_LIMIT = 2.0  # requests of all proxies: the least limit of a server
+FLOOR_OF_MANY = 5.0  # the same of many: they choose apart, and some servers stand idle beside full ones
 LIMIT_CUT = 0.75  # factor on the limit when too many wait there
 FAIL_CUT = 0.8  # factor on the limit after a failure that tells of load
 FAIR_SPREADS = 3.0  # mean deviations above the usual latency that an attempt needs to have a fair chance
@@ -62,6 +63,10 @@
 WARM_KEEP = 0.9  # part of the load known of a warm server that is kept each second without one to look at
 COLD_HEAT = 1.2  # times its part of a warm server's load that a cold one gets, or half the rule's multiple
 
+LOAD_STEP = 0.3  # weight of one report in a server's load: some even out what is in work by chance
+SHARE_STEP = 0.3  # power of (mean load / its load) by which a server's share moves at each report
+SHARE_LEAST = 0.05  # least share of what would come to a server: some must tell when it is better
+
 # "One of many" is a proxy whose part of START_LIMIT is under one request: it cannot judge a server alone.
 NEAR = 6  # servers of its own zone that such a proxy keeps to: enough to choose from, few enough to know
 ALLOW_UP, ALLOW_DOWN = 0.1, 0.2  # steps of its limit on all in flight: at one, level where a third are spoilt
@@ -83,6 +88,7 @@
         self.started: float | None
         self.state, self.zone, self.kind, self.cell = info.state, info.zone, info.kind, info.cell
         self.inflight, self.rank, self.weight = 0, 0, 1.0  # in flight: at work there
+        self.nominal = 0.0  # its weight with nothing to do, where weights tell of load
         self.transfers, self.transfer_bytes = 0, 0  # bodies on their way, which cost it no work
         self.forget()
 
@@ -94,6 +100,7 @@
         self.payoff, self.plays = 1.0, 0.0
         self.strikes, self.rest_until, self.rest_ms = 0, 0.0, REST_MS[0]
         self.answered, self.rate, self.tokens = 0, 0.0, 0.0
+        self.load, self.share = 0.0, 1.0  # requests a core it holds, of all; part of its keys it is given
         self.silent_from = 0.0  # its last answer, or the first send since it held nothing of ours
         self.started, self.cold_until = None, 0.0
 
@@ -128,7 +135,8 @@
     def cut(self, factor: float) -> None:
         """Each proxy is one of several. Together they never go below one request at work and one to follow,
         or the server would stand idle between two."""
-        self.limit = min(self.limit, max(FLOOR_LIMIT / self.proxies, self.limit * factor))
+        least = FLOOR_OF_MANY if self.proxies > START_LIMIT else FLOOR_LIMIT
+        self.limit = min(self.limit, max(least / self.proxies, self.limit * factor))
 
 
 class Attempt:
@@ -668,10 +676,22 @@
         for entry in event.entries:
             self.on_entry(now, entry)
         self.active = [s for s in self.servers.values() if s.state is ServerState.ACTIVE]
+        if self.many and self.settings.live_weights and event.kind is not ListKind.SAVED:
+            self.weigh(now)
         if not self.near:
             self.allow = max(ALLOW_LEAST, START_LIMIT * len(self.active) / self.settings.proxies)
         self.choose_near(now)
 
+    def weigh(self, now: float) -> None:
+        """Weights tell how much each server holds: nominal size / (1 + requests held a core). One of many
+        proxies sees too little of a server to tell; what all hear alike moves all alike, bit by bit."""
+        for s in self.active:
+            s.load += (s.nominal / s.weight - 1 - s.load) * LOAD_STEP
+        warm = [s.load for s in self.active if s.cold_until <= now]  # cold ones hold few, and are to
+        mean = 1 + sum(warm) / max(len(warm), 1)
+        for s in self.active:
+            s.share = min(1.0, max(SHARE_LEAST, s.share * (mean / (1 + s.load)) ** SHARE_STEP))
+
     def on_moved(self, now: float) -> None:
         """Failures of the old service say nothing of the new one, and its drains count as told soon."""
         self.ask_failures, self.moved_at = 0, now
@@ -700,6 +720,7 @@
             server.rank = affinity(self.settings.me + 1, server)
         server.state, server.zone, server.kind, server.cell = entry.state, entry.zone, entry.kind, entry.cell
         server.weight = max(entry.weight, 0.01)
+        server.nominal = max(server.nominal, server.weight)
         if entry.state is ServerState.GONE:
             del self.servers[entry.server]
             return
@@ -859,8 +880,10 @@
         if len(room) == 1:
             return room[0]
         if self.settings.warm_keys and (key := request.key) is not None:
-            # Servers do less work for a key met lately: every proxy draws the same two for it.
-            a, b = nlargest(2, room, key=lambda s: affinity(key, s))
+            # Servers do less work for a key met lately: every proxy draws the same two for it, or the next
+            # where more comes to them than they carry.
+            fit = [s for s in room if s.share >= 1 or self.rng.random() < s.share]
+            a, b = nlargest(2, fit if len(fit) > 1 else room, key=lambda s: affinity(key, s))
         elif self.sparse:
             own = [s for s in room if s.zone == self.settings.zone]
             a = self.draw(own or room)
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from typing import Any
 
 import pytest
 
@@ -163,3 +164,75 @@
             driver.beat(40.0)
     assert sent[0] >= 4  # it was met
     assert sent[1] <= 16  # an even part would be 40
+
+
+def keyed(me: int, servers: list[ServerInfo]) -> Driver:
+    return Driver(settings(proxies=40, me=me, warm_keys=True, live_weights=True), *servers, seed=me)
+
+
+def keys_of(driver: Driver, server: str, keys: range) -> int:
+    """How many requests of these keys go to `server`, with nothing else in flight."""
+    met = 0
+    for key in keys:
+        request = driver.arrive(key=key)
+        met += driver.sends[request][0] == server
+        driver.end(request, after=1.0, delay=50.0)
+        driver.beat()
+    return met
+
+
+def told(server: ServerInfo, held: float) -> ServerInfo:
+    return server._replace(weight=1.5 / (1 + held))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_server_that_holds_more_than_others_by_the_list_is_given_less_of_its_keys(seed: int) -> None:
+    """A key asked for by all proxies fills its server, each with one request in flight."""
+    servers = [s._replace(weight=1.5) for s in fleet(20)]
+    drivers = [keyed(me, servers) for me in range(4)]
+    full = servers[seed * 5]
+    before = [keys_of(driver, full.server, range(400)) for driver in drivers]
+    for _ in range(6):
+        for driver in drivers:
+            now = tuple(told(s, 9.0 if s is full else 2.0) for s in servers)
+            driver.step(ServerList(ListKind.CHANGES, now), after=1000.0)
+    during = [keys_of(driver, full.server, range(400)) for driver in drivers]
+    for _ in range(20):
+        for driver in drivers:
+            now = tuple(told(s, 0.0 if s is full else 2.0) for s in servers)
+            driver.step(ServerList(ListKind.CHANGES, now), after=1000.0)
+    after = [keys_of(driver, full.server, range(400)) for driver in drivers]
+    assert sum(during) < 0.6 * sum(before) and min(during) > 0  # less by all, and never nothing
+    assert sum(after) > 0.9 * sum(before)
+
+
+def test_weights_that_tell_of_size_alone_move_no_share() -> None:
+    servers = [s._replace(weight=1.0 + i % 3) for i, s in enumerate(fleet(12))]
+    driver = Driver(settings(proxies=40, warm_keys=True), *servers)
+    for _ in range(10):
+        smaller = [s._replace(weight=0.1) for s in servers[:6]]
+        driver.step(ServerList(ListKind.CHANGES, tuple(smaller)), after=1000.0)
+    assert {s.share for s in driver.balancer.active} == {1.0}
+
+
+def test_cold_servers_that_hold_nothing_yet_don_t_make_the_others_look_full() -> None:
+    servers = [s._replace(weight=1.5) for s in fleet(6)]
+    more: dict[str, Any] = {"warm_keys": True, "live_weights": True, "cold_ms": 1e6, "start_capacity": 0.2}
+    driver = Driver(settings(proxies=40, **more), *servers)
+    driver.now += 1e6
+    new = [ServerInfo(f"10.0.1.{i}:80", weight=1.5, started=driver.now) for i in range(10)]
+    for _ in range(10):
+        now = (*(told(s, 3.0) for s in servers), *new)
+        driver.step(ServerList(ListKind.CHANGES, now), after=1000.0)
+    assert min(s.share for s in driver.balancer.active) > 0.99
+
+
+def test_proxies_of_a_large_fleet_keep_enough_in_flight_to_use_every_server() -> None:
+    """Answers that take long anyway cut each limit to its floor: together 40 hold five at each server."""
+    driver = keyed(0, fleet(60))
+    for _ in range(40):
+        for server in driver.balancer.active:
+            server.cut(0.5)
+    sent = [driver.arrive(key=key) for key in range(30)]
+    at_once = sum(request in driver.sends for request in sent)
+    assert 60 * 4 / 40 <= at_once <= 60 * 6 / 40
