Rest a server at its first failed connection at many proxies; keep the list against old or empty ones

And bad news of the list has to leave the one held: a whole list without a server, as a service that recovers may give, emptied it; a version that goes back was taken.

Change: in learn, one failed connection counts as enough for one of many proxies; more than half never rest, as before. Discovery takes a version older than the one held for a failed call and asks for the whole list, which then stands. Engine.on_list refuses a whole list with nobody in it while it holds somebody. A reason that repeats is said once.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -506,12 +506,14 @@
             return
         if result in (Result.FULL, Result.TIMEOUT):
             server.cut(FAIL_CUT)
-        self.strike(now, server)
+        self.strike(now, server, self.many and result is Result.CONNECT_FAILED)
 
-    def strike(self, now: float, server: Server) -> None:
-        server.strikes += 1
+    def strike(self, now: float, server: Server, sure: bool = False) -> None:
+        """`sure`: one failure is enough. What takes no connection serves nobody, and where each of many
+        proxies needs three to see it, a server that has gone costs all of them a hundred."""
+        server.strikes = STRIKES if sure else server.strikes + 1
         if server.strikes >= STRIKES and server.rest_until <= now:
-            self.rest(now, server)
+            self.rest(now, server, sure)
 
     def learn_crowd(self, part_of_aim: float) -> None:
         """All servers together: one of several proxies sees too few answers of each to cut limits in time."""
@@ -541,10 +543,11 @@
         self.class_floor[cls] = min(floor + (mean - floor) * FLOOR_DRIFT, mean)
         return mean
 
-    def rest(self, now: float, server: Server) -> None:
+    def rest(self, now: float, server: Server, sure: bool) -> None:
         # When all are slow the trouble is not this server: more than half never rest, nor does a usual one.
         resting = sum(1 for s in self.active if s.strikes >= STRIKES and s is not server)
-        if 2 * (resting + 1) > len(self.active) or server.payoff > self.usual_payoff() / 2:
+        usual = not sure and server.payoff > self.usual_payoff() / 2
+        if 2 * (resting + 1) > len(self.active) or usual:
             server.strikes = 0
             return
         server.rest_until = now + server.rest_ms * self.rng.uniform(0.75, 1.25)
--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -134,6 +134,7 @@
             try:
                 async with asyncio.timeout((wait + GRACE_MS) / 1000):
                     news = await self._fetch(wait)
+                self._check_order(news)
                 self.on_list(news)
             except Exception as error:
                 # Whatever went wrong here, the module must hear of it: with a watch that has died unseen it
@@ -143,6 +144,14 @@
                 return
             self.rev, wait = news.rev, WAIT_MS
 
+    def _check_order(self, news: Listing) -> None:
+        """A version older than the one held is no news: the whole list is asked for, and that answer stands,
+        as a service that has begun anew counts from its own start."""
+        held = self.rev
+        if held is not None and news.rev < held:
+            self.rev = None
+            raise Malformed(f"list: version {news.rev} after {held}")
+
     async def _fetch(self, wait: int) -> Listing:
         if self.call is None or not self.call.usable:
             self._hang_up()
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -36,7 +36,7 @@
 from flintlatch.net.clock import now_ms
 from flintlatch.net.discovery import Discovery, Listing
 from flintlatch.net.http1 import Response
-from flintlatch.settings import Wire
+from flintlatch.settings import Malformed, Wire
 
 MODULE_REST_S = 0.1  # s from the end of a broken module to the first step of the next
 KNOWN_S = 4.0  # s at least that an id is remembered after its request came: no client waits for longer
@@ -120,6 +120,7 @@
         self.known: dict[str, float] = {}  # ids of late, with the time at which they came, oldest first
         self.longest_ms = max(c.deadline_ms for c in settings.classes)
         self.list_rev = 0  # version of the list held
+        self.list_complaint = ""  # why the last call for it failed
         self.news: list[ServerList] = []
         self.events: list[Event] = []
         self.ended: list[Held] = []  # to be forgotten once the module has been told of their end
@@ -132,6 +133,11 @@
     # What happens outside
 
     def on_list(self, listing: Listing, kind: ListKind | None = None) -> None:
+        """Raises Malformed for a whole list without a server while one with some is held: a service that
+        recovers may say so, and there is nobody to serve by it."""
+        if listing.whole and not listing.targets and self.backends.backends and kind is not ListKind.SAVED:
+            raise Malformed("list: empty, and the one held is not")
+        self.list_complaint = ""
         # The pools hear of a drain here and now, before anything else of this turn can be written.
         self.list_rev = listing.rev
         self.backends.update(listing.targets, listing.whole)
@@ -140,7 +146,9 @@
         self._wake()
 
     def on_list_failure(self, reason: str) -> None:
-        log(f"list: {reason}")
+        if reason != self.list_complaint:  # said once, not at each of the calls that follow
+            log(f"list: {reason}")
+        self.list_complaint = reason
         self.news.append(ServerList(ListKind.FAILED))
         self._wake()
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -150,3 +150,35 @@
                 assert (await client.reply()).status == 200
 
     run(test())
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_a_version_that_goes_back_is_no_news_until_it_is_the_whole_list_asked_for(whole: bool) -> None:
+    async def test() -> None:
+        async with watching() as (heard, peer):
+            reply(await peer.calls.get(), listing(7, target("old", ADDRESS), whole=whole))
+            assert "version 7 after 41" in await heard.failures.get()
+            assert heard.lists.empty()
+            heard.discovery.watch()
+            call = await peer.calls.get()
+            assert call.line.startswith("GET /registry/instances HTTP")  # a service that has begun anew
+            reply(call, listing(7, target("s", ADDRESS)))
+            assert (await heard.lists.get()).rev == 7
+
+    run(test())
+
+
+def test_a_whole_list_without_a_server_leaves_the_one_held_and_is_said_once(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async def test() -> None:
+        async with proxy(backends=2) as p:
+            for _ in range(3):
+                reply(await p.registry.calls.get(), listing(9))
+            reply(await p.registry.calls.get(), listing(9, target("s1", p.backends[1].address)))
+            assert set(p.engine.backends.backends) == {"s0", "s1"}
+            await p.registry.calls.get()  # the next watch: the news is in
+            assert set(p.engine.backends.backends) == {"s1"}
+
+    run(test())
+    assert capsys.readouterr().err.count("the one held is not") == 1
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -7,7 +7,17 @@
 
 import pytest
 
-from flintlatch.api import ListKind, RequestClass, Result, ServerInfo, ServerList
+from flintlatch.api import (
+    ListKind,
+    RequestClass,
+    Result,
+    ServerInfo,
+    ServerList,
+    ServerState,
+    TimerFired,
+    Watch,
+)
+from flintlatch.choice import affinity
 from tests.support import Driver, fleet, settings
 
 MANY = {"proxies": 300, "zones": 2}
@@ -236,3 +246,103 @@
     sent = [driver.arrive(key=key) for key in range(30)]
     at_once = sum(request in driver.sends for request in sent)
     assert 60 * 4 / 40 <= at_once <= 60 * 6 / 40
+
+
+def test_servers_that_take_no_connection_cost_each_of_many_proxies_one_attempt_each() -> None:
+    """Servers that have gone before the list tells of it: three of each of 40 are 120."""
+    tries = 0
+    for me in range(20):
+        driver = keyed(me, fleet(12))
+        gone = {s.id for s in driver.balancer.active[:5]}
+        held = driver.balancer.active[0]
+        held.limit = 3.0
+        inside = next(driver.arrive(key=k) for k in range(500) if affinity_first(driver, k) == held.id)
+        for key in range(60):
+            request = driver.arrive(key=key)
+            while driver.sends[request][-1] in gone:
+                tries += 1
+                driver.end(request, Result.CONNECT_FAILED, after=0.2)
+            driver.end(request, after=1.0)
+        assert driver.sends[inside] == [held.id]  # what it has goes on
+        driver.end(inside)
+        assert held.strikes == 0  # and its answer shows that it serves
+    assert 50 <= tries <= 20 * 5
+
+
+def affinity_first(driver: Driver, key: int) -> str:
+    return max(driver.balancer.active, key=lambda s: affinity(key, s)).id
+
+
+def test_when_most_servers_take_no_connection_they_are_all_still_tried() -> None:
+    driver = keyed(0, fleet(10))
+    met: set[str] = set()
+    for key in range(60):
+        request = driver.arrive(key=key)
+        for _ in range(4):
+            if len(driver.sends.get(request, ())) and driver.balancer.requests.get(request):
+                met.add(driver.sends[request][-1])
+                driver.end(request, Result.CONNECT_FAILED, after=0.2)
+        driver.beat()
+    resting = sum(s.rest_until > driver.now for s in driver.balancer.active)
+    assert resting <= 5 and len(met) == 10
+
+
+class AskedOne:
+    """A list service for all proxies: one call after the other, each for so long; none waits beyond 2 s."""
+
+    def __init__(self, each_ms: float) -> None:
+        self.each_ms, self.free_at = each_ms, 0.0
+        self.due: list[tuple[float, int, bool]] = []  # when, to which proxy, with a list or as a failed call
+        self.calls = 0
+
+    def call(self, now: float, me: int) -> None:
+        self.calls += 1
+        start = max(self.free_at, now)
+        if start + self.each_ms > now + 2000:
+            self.due.append((now + 1, me, False))
+            return
+        self.free_at = start + self.each_ms
+        self.due.append((self.free_at, me, True))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_proxies_killed_together_all_hear_of_the_list_in_time_from_a_service_for_few(seed: int) -> None:
+    """40 start within 100 ms, at a service that one call of each fills for seven seconds."""
+    obliged = 10_000.0
+    service = AskedOne(7000 / 40)
+    more: dict[str, Any] = {"ask_for_list": True, "must_ask_ms": obliged, "warm_keys": True}
+    drivers = [
+        Driver(settings(proxies=40, me=me, **more), *fleet(6), seed=97 * seed + me) for me in range(40)
+    ]
+    starts = [d.now + (me * 37 + seed * 11) % 100 for me, d in enumerate(drivers)]
+    told: dict[int, float] = {}
+    for now in range(1000, 12_000, 25):
+        for me, driver in enumerate(drivers):
+            if now < starts[me]:
+                continue
+            driver.now = float(now)
+            news = [ok for when, whose, ok in service.due if whose == me and when <= now]
+            events: list[Any] = [ServerList(ListKind.FULL, tuple(fleet(6))) for ok in news if ok][:1]
+            events += [ServerList(ListKind.FAILED) for ok in news if not ok][:1]
+            if any(news):
+                told.setdefault(me, now - starts[me])
+            service.due = [d for d in service.due if d[1] != me or d[0] > now]
+            for action in driver.step(TimerFired(0), *events):
+                if isinstance(action, Watch) and me not in told:
+                    service.call(float(now), me)
+    assert len(told) == 40 and max(told.values()) < obliged
+    assert service.calls <= 80  # no storm: few had to ask twice
+
+
+def test_a_new_server_at_the_address_of_one_that_left_is_known_for_nothing_of_it() -> None:
+    driver = keyed(0, fleet(6))
+    left = driver.balancer.active[0]
+    left.payoff, left.share, left.load, left.strikes = 0.1, 0.1, 9.0, 2
+    entries = (ServerInfo(left.id, state=ServerState.GONE), ServerInfo("s-new", weight=1.0))
+    driver.step(ServerList(ListKind.CHANGES, entries))
+    new = driver.balancer.servers["s-new"]
+    assert left.id not in driver.balancer.servers
+    assert (new.payoff, new.share, new.strikes, new.inflight) == (1.0, 1.0, 0, 0)
+    assert not any(
+        left.id in sends for sends in [driver.sends.get(driver.arrive(key=k), []) for k in range(20)]
+    )
