--- a/tests/membership/test_files.py
+++ b/tests/membership/test_files.py
@@ -125,6 +125,45 @@
     run(test())
 
 
+def sealed(number: int) -> bytes:
+    """Of one length whatever the number, so that pieces of two fit into one another."""
+    nodes = tuple(Node(f"n{n}", f"10.0.0.{n + 1}", 1000 + number) for n in range(5))
+    return write_document(Version("f", number, nodes, 5.0))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_two_writers_at_once_on_one_file_never_make_a_version_that_neither_wrote(
+    tmp_path: Path, seed: int
+) -> None:
+    async def test() -> None:
+        path, random = tmp_path / "nodes.jsonl", Random(seed)
+        path.write_bytes(sealed(101)[:200] + sealed(100)[200:])
+
+        async def write(first: int) -> None:
+            for number in range(first, first + 60, 2):
+                with open(path, "r+b" if random.random() < 0.7 else "wb", buffering=0) as file:
+                    data = sealed(number)
+                    for place in range(0, len(data), 97):
+                        file.write(data[place : place + 97])
+                        await asyncio.sleep(random.choice((0, 0, 0.001)))
+                await asyncio.sleep(random.choice((0, 0.01, 0.06)))
+
+        async with watching(path) as watched:
+            await watched.until(lambda e: isinstance(e, Unread))
+            await asyncio.gather(write(100), write(101))
+            by_rename(path, sealed(900))  # whatever mixture they left
+            seen: list[Version] = []
+            while not seen or seen[-1].number != 900:
+                event = await watched.until(lambda e: isinstance(e, Offered))
+                assert isinstance(event, Offered)
+                seen.append(event.version)
+            for version in seen:
+                assert [n.port for n in version.nodes] == [1000 + version.number] * 5
+            print("seed", seed, "read", watched.source.reads, "whole", len(seen))
+
+    run(test())
+
+
 def test_no_permission_is_told_of_and_ends_when_it_is_given(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from random import Random
 from typing import Any
 
 import pytest
@@ -346,3 +347,56 @@
     assert not any(
         left.id in sends for sends in [driver.sends.get(driver.arrive(key=k), []) for k in range(20)]
     )
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_a_part_of_the_fleet_that_falls_silent_and_comes_back_cold_is_left_and_met_again(seed: int) -> None:
+    """A third of 12 servers vanish at 3 s, and start again at 6 s; 300 requests a second."""
+    cold: dict[str, Any] = {
+        "start_capacity": 0.2,
+        "cold_ms": 20_000.0,
+        "fall_ms": 1500.0,
+        "fall_multiple": 3.0,
+    }
+    more = cold | {"warm_keys": True, "live_weights": True, "most_attempts": 6}
+    drivers = [Driver(settings(proxies=40, me=me, **more), *fleet(12), seed=me + seed) for me in range(40)]
+    rng, lost = Random(seed), {s.server for s in fleet(12)[:4]}
+    busy: list[tuple[float, Driver, str, Result]] = []
+    to_lost: list[tuple[float, str]] = []
+    waiting: list[tuple[Driver, str]] = []
+    start, now = drivers[0].now, drivers[0].now
+    while now < start + 16_000:
+        now += 25
+        silent, back = start + 3000 <= now < start + 6000, now >= start + 6000
+        for driver in drivers:
+            driver.now = now
+            news: list[Any] = []
+            if back and now < start + 6025:
+                news = [ServerList(ListKind.CHANGES, tuple(ServerInfo(s, started=now) for s in sorted(lost)))]
+            driver.step(TimerFired(0), *news)
+        for due, driver, name, result in [b for b in busy if b[0] <= now]:
+            busy.remove((due, driver, name, result))
+            driver.end(name, result, after=0.0, delay=60.0 if result is Result.OK else 300.0, done=True)
+        for _ in range(7 + (rng.random() < 0.5)):
+            driver = rng.choice(drivers)
+            waiting.append((driver, driver.arrive(key=rng.randrange(200))))
+        for driver, name in [w for w in waiting if w[1] in w[0].sends or w[1] not in w[0].balancer.requests]:
+            waiting.remove((driver, name))
+            if name not in driver.sends:
+                continue  # it was refused
+            server = driver.sends[name][0]
+            gone = silent and server in lost
+            busy.append((now + (300 if gone else 60), driver, name, Result.TIMEOUT if gone else Result.OK))
+            if server in lost and now >= start + 3000:
+                to_lost.append((now - start, server))
+    early = [s for t, s in to_lost if 3000 <= t < 4500]
+    late = [s for t, s in to_lost if 4500 <= t < 6000]
+    assert len(late) < 0.5 * 1.5 * 300 / 3 and len(early) + len(late) <= 3 * 40 * 4
+    # What a warm one carries is 25 a second; a cold one begins with a fifth of that, and may get three times.
+    for server in lost:
+        times = [t for t, s in to_lost if s == server and t >= 6000]
+        for first in times:
+            present = 0.2 + 0.8 * (first - 6000) / 20_000
+            window = [t for t in times if first <= t < first + 1500]
+            assert len(window) < 3 * present * 25 * 1.5
+        assert len([t for t in times if t > 9000]) > 20  # it is used
