Ask a reload test's idle connections before any wait for an end

Cause: in a clean checkout the test of idle and half-read connections failed once, and once of six beside itself: line 289, an idle connection closed unheard. A half-read one that was answered before its instance had heard of its drain is waited for until idle_s (5 s) has passed, and by then the idle ones of that instance are closed as they should be.

Change: all answers are taken first, and only then the ends are waited for; nothing that the test asserts is left out.

--- a/tests/fleet/test_daemon.py
+++ b/tests/fleet/test_daemon.py
@@ -274,6 +274,7 @@
                 await client.writer.drain()
             old = set(await made.pids_now())
             assert (await made.fleet.ask("reload"))["ok"]
+            told: list[tuple[Client, bool]] = []
             for client in half:
                 client.writer.write(b"st: x\r\n\r\n")
                 reply = await client.reply()
@@ -281,14 +282,18 @@
                 # the reload outlasts what a half-read head has gets what is said of late ones.
                 late = now_ms() - begun > 900 * WHOLE_S
                 assert reply.status == 200 or (late and reply.status == 408)
-                assert reply.headers.get("connection") == "close" or await client.ended()
+                told.append((client, reply.headers.get("connection") == "close"))
             for number, client in enumerate(idle[:4]):
                 client.send(
                     "/answer/1", "GET", x_call_id=f"again-{number}", x_budget_ms="900", content_length=None
                 )
                 reply = await client.reply()
                 assert reply.status == 200
-                assert reply.headers.get("connection") == "close" or await client.ended()
+                told.append((client, reply.headers.get("connection") == "close"))
+            # Only now: one answered before its instance had heard of its drain ends after idle_s, and the
+            # idle ones of that instance with it.
+            for client, closing in told:
+                assert closing or await client.ended()
             for client in idle[4:]:
                 assert await client.ended()
             await none_left(old)
