Take a proxy's part of the load for its limits, and place keys by the size of servers

The limits of a proxy come to 4 requests in flight, an even part (START_LIMIT / proxies for each server), and nothing raises them. The six proxies with five times the mean traffic stand at 4.4 to 4.9 in flight and refuse or fail 550 of 860 tries each, while those at the mean use 2.5 and 31% of samples of a server show it idle. Lines at fault: `spare` in dispatch, and Server.forget / cut. Second: with weights of 1.0 and 1.5 every server drew equally many keys (affinity knows no size). Ruled out as a guide to better choices: smoothed load and payoff say nothing of time-outs (10 to 12% at each level), the last report correlates with the true number held by 0.31 only.

Change: find_reach takes what this proxy has in flight, of all that servers hold by the list's live weights, as its part; its limits together may then be FLOOR_OF_MANY a server times that part, never under the even one and at most REACH_MOST of it. They bind once servers hold as much as all may send. Keys are placed by a weighted rendezvous hash, a server's size being the largest its kind has shown; the order of a key's servers is kept until list or sizes change.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -65,9 +65,13 @@
 
 LOAD_STEP = 0.3  # weight of one report in a server's load: some even out what is in work by chance
 SHARE_STEP = 0.3  # power of (mean load / its load) by which a server's share moves at each report
+OUT_STEP = 0.03  # weight of one beat in what this proxy has in flight: about the second that reports take
+REACH_MOST = 8.0  # even parts that one proxy may have in flight, by the load that lists tell
 SHARE_LEAST = 0.05  # least share of what would come to a server: some must tell when it is better
 
 # "One of many" is a proxy whose part of START_LIMIT is under one request: it cannot judge a server alone.
+PLACES = 12  # servers of a key that are looked at in turn: of so many some have room, or all are full
+ORDERS = 512  # keys whose servers are kept at hand
 NEAR = 6  # servers of its own zone that such a proxy keeps to: enough to choose from, few enough to know
 ALLOW_UP, ALLOW_DOWN = 0.1, 0.2  # steps of its limit on all in flight: at one, level where a third are spoilt
 ALLOW_BURST = 4.0  # requests, beyond the limit, that may be in flight at once after idling
@@ -251,10 +255,13 @@
         self.crowd, self.crowd_samples = 0.0, 0  # smoothed latency as a part of the aim, all servers
         self.servers: dict[str, Server] = {}
         self.active: list[Server] = []
+        self.sizes: dict[int, float] = {}  # of a server with nothing to do, by kind
+        self.orders: dict[int, list[Server]] = {}  # by key, the servers that it meets first
         self.near: list[Server] = []  # those it sends to: all active, or as one of many its own few
         self.near_size, self.each = 0, 0.0  # servers of each zone among them; least limit of one
         self.allow = 1.0  # limit on all requests in flight, as one of many proxies
         self.credit, self.credit_at, self.out_count = 1e9, 0.0, 0  # ms in flight still to use; at work
+        self.usual_out, self.reach = 0.0, 1.0  # at work over the last second; how far beyond an even part
         self.transfers, self.transfer_bytes = 0, 0  # with all servers
         self.class_floor = [0.0] * len(settings.classes)  # uncrowded latency
         self.warm_floor: dict[int, float] = {}  # uncrowded latency of a warm server, by kind
@@ -678,13 +685,24 @@
                 del self.servers[name]
         for entry in event.entries:
             self.on_entry(now, entry)
-        self.active = [s for s in self.servers.values() if s.state is ServerState.ACTIVE]
+        before, self.active = self.active, [s for s in self.servers.values() if s.state is ServerState.ACTIVE]
+        self.size_up(self.active != before)
         if self.many and self.settings.live_weights and event.kind is not ListKind.SAVED:
             self.weigh(now)
         if not self.near:
             self.allow = max(ALLOW_LEAST, START_LIMIT * len(self.active) / self.settings.proxies)
         self.choose_near(now)
 
+    def size_up(self, changed: bool) -> None:
+        """Keys are placed by size. Where weights tell of load, a server's size is the largest that any of its
+        kind has shown with nothing to do: the same at every proxy within moments of its start."""
+        sizes: dict[int, float] = {}
+        for s in self.active:
+            sizes[s.kind] = max(s.nominal, sizes.get(s.kind, 0.0))
+        if changed or sizes != self.sizes:
+            self.sizes = sizes
+            self.orders.clear()
+
     def weigh(self, now: float) -> None:
         """Weights tell how much each server holds: nominal size / (1 + requests held a core). One of many
         proxies sees too little of a server to tell; what all hear alike moves all alike, bit by bit."""
@@ -694,6 +712,16 @@
         mean = 1 + sum(warm) / max(len(warm), 1)
         for s in self.active:
             s.share = min(1.0, max(SHARE_LEAST, s.share * (mean / (1 + s.load)) ** SHARE_STEP))
+        self.find_reach()
+
+    def find_reach(self) -> None:
+        """Traffic is split unevenly: a limit as an even part holds one proxy's requests back beside idle
+        servers, and others never use theirs. What it has in flight, of all that servers hold, tells its part;
+        so all limits together bind only once servers hold as much as all may send."""
+        held = sum(s.load for s in self.active) / max(len(self.active), 1)
+        even = sum(s.limit for s in self.active)
+        part = FLOOR_OF_MANY * self.usual_out / max(held, 1.0)
+        self.reach = min(max(part / max(even, 0.001), 1.0), REACH_MOST)
 
     def on_moved(self, now: float) -> None:
         """Failures of the old service say nothing of the new one, and its drains count as told soon."""
@@ -742,6 +770,7 @@
         for server in [s for s in self.near if s.cold_until > now]:
             self.refill(now, server)
         self.beat_at = now
+        self.usual_out += (self.out_count - self.usual_out) * OUT_STEP
         if self.ask_at is not None and now >= self.ask_at:
             self.out.append(Watch())
             # Should no word come back, ask anew before this proxy counts as told of what it never heard.
@@ -847,7 +876,10 @@
         silent = now - SILENT * (self.all_latency or self.endpoints[-1].aim)
         spare = self.refill_credit(now)
         if not self.sparse:
-            spare = sum(max(s.limit - s.inflight, -1.0 if s.silent_from > silent else 0.0) for s in self.near)
+            reach = self.reach
+            spare = sum(
+                max(reach * s.limit - s.inflight, -1.0 if s.silent_from > silent else 0.0) for s in self.near
+            )
         while heads and room and spare > 0:
             # The one clear rule: the head that has waited the largest part of its aim goes first. So all
             # endpoints feel a shortage of servers alike, and each one's flag sheds its own.
@@ -883,10 +915,7 @@
         if len(room) == 1:
             return room[0]
         if self.settings.warm_keys and (key := request.key) is not None:
-            # Servers do less work for a key met lately: every proxy draws the same two for it, or the next
-            # where more comes to them than they carry.
-            fit = [s for s in room if s.share >= 1 or self.rng.random() < s.share]
-            a, b = nlargest(2, fit if len(fit) > 1 else room, key=lambda s: affinity(key, s))
+            a, b = self.places(key, room)
         elif self.sparse:
             own = [s for s in room if s.zone == self.settings.zone]
             a = self.draw(own or room)
@@ -902,6 +931,26 @@
             return b if b.inflight < a.inflight else a
         return a if gap > 0 else b
 
+    def places(self, key: int, room: list[Server]) -> list[Server]:
+        """Servers do less work for a key met lately: every proxy draws the same two for it, or the next where
+        more comes to them than they carry."""
+        order = self.orders.get(key)
+        if order is None:
+            if len(self.orders) >= ORDERS:
+                del self.orders[next(iter(self.orders))]
+            order = self.orders[key] = nlargest(PLACES, self.active, key=lambda s: self.place(key, s))
+        two: list[Server] = []
+        for s in order:
+            if s in room and (s.share >= 1 or self.rng.random() < s.share):
+                two.append(s)
+                if len(two) == 2:
+                    return two
+        return nlargest(2, room, key=lambda s: self.place(key, s))
+
+    def place(self, key: int, server: Server) -> float:
+        """Weighted rendezvous hash: a server gets keys in proportion to its size, the same at every proxy."""
+        return log((affinity(key, server) + 0.5) / 2.0**64) / self.sizes.get(server.kind, 1.0)
+
     def draw(self, servers: list[Server]) -> Server:
         """In proportion to registered size: few in flight, ties alone would load small servers like large."""
         left = self.rng.random() * sum(s.weight for s in servers)
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -400,3 +400,82 @@
             window = [t for t in times if first <= t < first + 1500]
             assert len(window) < 3 * present * 25 * 1.5
         assert len([t for t in times if t > 9000]) > 20  # it is used
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_keys_go_to_servers_in_proportion_to_their_size_and_alike_from_every_proxy(seed: int) -> None:
+    """A server twice as fast that gets as many keys as any other idles beside one that is full."""
+    large = {s.server for s in fleet(20)[seed::2]}
+    servers = [
+        s._replace(weight=2.0 if s.server in large else 1.0, kind=int(s.server in large)) for s in fleet(20)
+    ]
+    met, firsts = 0, []
+    for me in range(3):
+        # What a proxy has seen of a server's weight differs; the largest of its kind does not.
+        seen = [s._replace(weight=s.weight / (1 + (i + me) % 3)) for i, s in enumerate(servers)]
+        driver = keyed(me, seen)
+        firsts.append([max(driver.balancer.active, key=lambda s: place(driver, k, s)).id for k in range(300)])
+        for key in range(300):
+            request = driver.arrive(key=key)
+            met += driver.sends[request][0] in large
+            driver.end(request, after=1.0, delay=50.0)
+            driver.beat()
+    assert 1.5 < met / (900 - met) < 2.6
+    assert firsts[0] == firsts[1] == firsts[2]
+
+
+def place(driver: Driver, key: int, server: Any) -> float:
+    return driver.balancer.place(key, server)
+
+
+def crowded(driver: Driver, servers: list[ServerInfo], held: float, each_ms: int, ms: int) -> tuple[int, int]:
+    """A request each so often, each 100 ms at work, while lists tell that servers hold so many. How many
+    came, and how many of them were sent within a turn."""
+    came = sent = 0
+    busy: list[tuple[float, str]] = []
+    for t in range(0, ms, 5):
+        driver.now += 5.0
+        for due, name in [b for b in busy if b[0] <= driver.now]:
+            busy.remove((due, name))
+            driver.end(name, after=0.0, delay=100.0)
+        if t % 25 == 0:
+            driver.beat(0.0)
+        if t % 500 == 0:
+            driver.step(ServerList(ListKind.CHANGES, tuple(told(s, held) for s in servers)))
+        if t % each_ms == 0:
+            name = driver.arrive(key=came * 31 % 400)
+            came, sent = came + 1, sent + (name in driver.sends)
+        busy += [
+            (driver.now + 100.0, name)
+            for name, request in driver.balancer.requests.items()
+            if request.open and name not in {b[1] for b in busy}
+        ]
+    return came, sent
+
+
+def test_one_of_many_with_several_times_the_mean_traffic_uses_servers_that_are_idle() -> None:
+    """An even part of 60 servers is five requests in flight; twenty of this proxy's wait to be served."""
+    servers = [s._replace(weight=1.5) for s in fleet(60)]
+    more: dict[str, Any] = {"proxies": 60, "warm_keys": True, "live_weights": True}
+    driver = Driver(settings(**more), *servers)
+    crowded(driver, servers, 1.0, 5, 4000)
+    came, sent = crowded(driver, servers, 1.0, 5, 3000)
+    assert came == 600 and sent > 0.95 * came
+
+
+def test_its_part_is_no_more_when_servers_hold_all_that_they_may() -> None:
+    servers = [s._replace(weight=1.5) for s in fleet(60)]
+    more: dict[str, Any] = {"proxies": 60, "warm_keys": True, "live_weights": True}
+    driver = Driver(settings(**more), *servers)
+    crowded(driver, servers, 1.0, 5, 4000)
+    most = driver.balancer.usual_out
+    crowded(driver, servers, 12.0, 5, 6000)
+    assert most > 15 and driver.balancer.out_count < most / 2
+    assert driver.balancer.out_count >= 4  # its even part is left to it
+
+
+def test_lists_without_live_weights_move_no_part() -> None:
+    servers = [s._replace(weight=1.5) for s in fleet(60)]
+    driver = Driver(settings(proxies=60, warm_keys=True), *servers)
+    crowded(driver, servers, 1.0, 5, 3000)
+    assert driver.balancer.reach == 1.0
