Send second copies of keyed requests at many, spread hot keys, and feed cold servers by the mean

One key is 6.5% of requests and meets two servers of 60.

Send tells until when it may be written, and a connection that comes up later doesn't carry it. A key is drawn from as many servers as its part of arrivals fills. Cold budgets of many go by the mean, times half the rule's multiple.

--- a/flintlatch/api.py
+++ b/flintlatch/api.py
@@ -233,6 +233,7 @@
     request: str
     server: str
     limit_ms: float
+    within_ms: float = inf  # written later than this it must not be: it never ran then
 
 
 class Limit(NamedTuple):
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -61,7 +61,8 @@
 MOVED_MS = 4000.0  # ms after a move to another list service in which its news counts as told
 MOVED_RETRY_MS = 200.0  # ms at most until a failed call to such a service is made again within that time
 WARM_KEEP = 0.9  # part of the load known of a warm server that is kept each second without one to look at
-COLD_HEAT = 1.2  # times its part of a warm server's load that a cold one gets, or half the rule's multiple
+COLD_HEAT = 1.2  # times its part of a warm server's load that a cold one gets, or half the rule's multiple;
+# of many proxies always half: the load is the mean of all then, not that of the better half
 
 LOAD_STEP = 0.3  # weight of one report in a server's load: some even out what is in work by chance
 SHARE_STEP = 0.3  # power of (mean load / its load) by which a server's share moves at each report
@@ -71,6 +72,7 @@
 
 # "One of many" is a proxy whose part of START_LIMIT is under one request: it cannot judge a server alone.
 PLACES = 12  # servers of a key that are looked at in turn: of so many some have room, or all are full
+MET_KEEP, MET_LEAST = 0.97, 0.25  # part of a key's count kept each second; below this it is forgotten
 ORDERS = 512  # keys whose servers are kept at hand
 NEAR = 6  # servers of its own zone that such a proxy keeps to: enough to choose from, few enough to know
 ALLOW_UP, ALLOW_DOWN = 0.1, 0.2  # steps of its limit on all in flight: at one, level where a third are spoilt
@@ -165,6 +167,7 @@
         self.last_call = self.give_up  # the last moment to send it
         self.open = 0  # attempts without an outcome
         self.held = self.over = self.stream = False
+        self.hedge_at = inf  # when a second copy may follow the first
         self.sealed = False  # its body can't be sent again
 
     def time_from(self, now: float, aim_from: float) -> None:
@@ -256,6 +259,8 @@
         self.servers: dict[str, Server] = {}
         self.active: list[Server] = []
         self.sizes: dict[int, float] = {}  # of a server with nothing to do, by kind
+        self.met: dict[int, float] = {}  # arrivals of late by key, as one of many proxies
+        self.met_all = 0.0
         self.orders: dict[int, list[Server]] = {}  # by key, the servers that it meets first
         self.near: list[Server] = []  # those it sends to: all active, or as one of many its own few
         self.near_size, self.each = 0, 0.0  # servers of each zone among them; least limit of one
@@ -346,6 +351,9 @@
             if self.turned_away < 1:
                 waited = 0.0
             self.turned_away = max(self.turned_away - 1, 0.0)
+        if self.many and event.key is not None:
+            self.met[event.key] = self.met.get(event.key, 0.0) + 1
+            self.met_all += 1
         request = Request(event, spec, endpoint, now, now - waited)
         self.requests[event.request] = request
         if level >= 3:
@@ -435,6 +443,8 @@
             self.learn_end(now, attempt.server, event.result, attempt.begun)
             request.time_from(now, now)  # what it took was the upload's time
         if event.finished or request.over:
+            if not request.over and self.settings.may_cancel:  # a second copy is of no more use
+                self.out.extend(Cancel(request.id, n) for n, a in enumerate(request.attempts) if a.open)
             self.close(request)
             return
         if request.open == 0:
@@ -591,8 +601,7 @@
             ran = request.first_run()
             if not request.held or ran is None:
                 continue
-            group = [s for s in self.active if same_group(request.spec.scope, s, ran)]
-            group = [s for s in group if s.room(now, self.each)]
+            group = self.group_of(now, request, ran)
             if group and now < request.last_call:
                 request.held = False
                 self.send(now, request, self.pick(request, group))
@@ -783,6 +792,34 @@
             request = heappop(self.due)[2]
             if request.held:
                 self.time_up(now, request)
+            elif request.open == 1 and not request.over and now >= request.hedge_at:
+                self.hedge(now, request)
+
+    def may_hedge(self, request: Request) -> bool:
+        """A second copy beside the first, where servers drop repeats and one of many proxies can't know which
+        of them is full. Few proxies do know, and there a copy only costs."""
+        keyed = request.spec.effect is Effect.KEYED and not request.long()
+        return keyed and self.many and self.settings.may_duplicate and self.settings.may_cancel
+
+    def hedge(self, now: float, request: Request) -> None:
+        """Its attempt has had its fair chance: another one to the same group, as long as retries are left and
+        nobody waits to be sent at all. Under overload a second copy takes the place of a first."""
+        if self.retries < 1 or request.stream or not self.may_follow(now, request):
+            return
+        ran = request.first_run()
+        if ran is None or any(endpoint.head() is not None for endpoint in self.endpoints):
+            return
+        if group := self.group_of(now, request, ran):
+            self.retries -= 1
+            self.send(now, request, self.pick(request, group))
+        else:
+            self.at(now + 2 * BEAT_MS, request)
+
+    def group_of(self, now: float, request: Request, ran: Attempt) -> list[Server]:
+        """Ready servers that drop repeats of what ran there, other than those that have it."""
+        group = [s for s in self.active if same_group(request.spec.scope, s, ran)]
+        out = [a.server for a in request.attempts if a.open]
+        return [s for s in group if s not in out and s.room(now, self.each)]
 
     def at(self, when: float, request: Request) -> None:
         self.order += 1
@@ -812,6 +849,8 @@
         seconds, self.second_at = (now - self.second_at) / 1000, now
         self.outcomes = 1 + self.outcomes * PLAYS_KEEP
         self.turned_away *= PLAYS_KEEP
+        self.met_all *= MET_KEEP
+        self.met = {key: n * MET_KEEP for key, n in self.met.items() if n > MET_LEAST}
         self.find_part(seconds)
         warm: dict[int, list[Server]] = {}
         self.choose_near(now)
@@ -824,12 +863,13 @@
             mine = not self.sparse or (server.zone == self.settings.zone and server in self.near)
             if server.cold_until <= now and server.latency and mine:
                 warm.setdefault(server.kind, []).append(server)
-        # The better half tells what a server of this kind carries: slow and resting ones hide it. Held for
-        # a while, for when a release leaves no warm server to look at.
+        # The better half tells what a server of this kind carries: slow and resting ones hide it. Not to one
+        # of many proxies: of counts that are nearly all none or one a second that half is twice the mean.
+        # Held for a while, for when a release leaves no warm server to look at.
         self.warm_rate = {kind: rate * WARM_KEEP for kind, rate in self.warm_rate.items()}
         for kind, servers in warm.items():
             rates = sorted(s.rate for s in servers)
-            half = rates if self.sparse else rates[len(rates) // 2 :]
+            half = rates if self.many else rates[len(rates) // 2 :]
             self.warm_rate[kind] = max(self.warm_rate.get(kind, 0.0), sum(half) / len(half))
             self.warm_floor[kind] = sum(s.floor for s in servers) / len(servers)
 
@@ -855,7 +895,8 @@
             # It has shown its speed: measured against the uncrowded latency of warm ones of its kind.
             part = max(part, min(1.0, self.warm_floor[server.kind] / server.latency))
         known = [self.warm_rate[server.kind]] if server.kind in self.warm_rate else self.warm_rate.values()
-        rate = min(known, default=0.0) * part * min(COLD_HEAT, settings.fall_multiple / 2) / 1000
+        heat = settings.fall_multiple / 2 if self.many else min(COLD_HEAT, settings.fall_multiple / 2)
+        rate = min(known, default=0.0) * part * heat / 1000
         # Nothing observed yet: one request a window, of all who keep to this server.
         sharers = max(1.0, settings.proxies * self.near_size / max(len(self.active), 1))
         rate = max(rate, 1 / settings.fall_ms / (sharers if self.many else 1))
@@ -932,20 +973,29 @@
         return a if gap > 0 else b
 
     def places(self, key: int, room: list[Server]) -> list[Server]:
-        """Servers do less work for a key met lately: every proxy draws the same two for it, or the next where
-        more comes to them than they carry."""
+        """Servers do less work for a key met lately: every proxy draws from the same few for it, or the next
+        where more comes to them than they carry."""
         order = self.orders.get(key)
         if order is None:
             if len(self.orders) >= ORDERS:
                 del self.orders[next(iter(self.orders))]
             order = self.orders[key] = nlargest(PLACES, self.active, key=lambda s: self.place(key, s))
-        two: list[Server] = []
+        fit: list[Server] = []
+        width = self.width(key)
         for s in order:
             if s in room and (s.share >= 1 or self.rng.random() < s.share):
-                two.append(s)
-                if len(two) == 2:
-                    return two
-        return nlargest(2, room, key=lambda s: self.place(key, s))
+                fit.append(s)
+                if len(fit) == width:
+                    break
+        if len(fit) < 2:
+            return nlargest(2, room, key=lambda s: self.place(key, s))
+        return self.rng.sample(fit, 2) if len(fit) > 2 else fit
+
+    def width(self, key: int) -> int:
+        """Servers to draw from: two, or as many as this key's requests would fill with the usual number. What
+        one of many proxies sees is a sample of what all send; a single arrival tells nothing of a key."""
+        part = max(self.met.get(key, 0.0) - 1, 0.0) / max(self.met_all, 1.0)
+        return max(2, min(1 + int(part * len(self.active)), PLACES))
 
     def place(self, key: int, server: Server) -> float:
         """Weighted rendezvous hash: a server gets keys in proportion to its size, the same at every proxy."""
@@ -964,6 +1014,10 @@
         return server.payoff + BONUS * sqrt(log(1 + self.outcomes) / (1 + server.plays))
 
     def send(self, now: float, request: Request, server: Server) -> None:
+        ran = request.first_run() if request.attempts else None
+        within = inf
+        if ran is not None and request.spec.effect is Effect.KEYED:
+            within = ran.sent + request.spec.window_ms - now
         attempt = Attempt(server, now, not request.uploading)
         request.attempts.append(attempt)
         request.open += 1
@@ -972,7 +1026,10 @@
         self.enter(request, attempt)
         if server.cold_until > now:
             server.tokens -= 1
-        self.out.append(Send(request.id, server.id, self.limit_ms(now, request)))
+        self.out.append(Send(request.id, server.id, self.limit_ms(now, request), within))
+        if ran is None and self.may_hedge(request):
+            request.hedge_at = now + (self.fair_chance(request) or request.endpoint.aim / 2)
+            self.at(request.hedge_at, request)
 
     def limit_ms(self, now: float, request: Request) -> float:
         if request.uploading:  # the time for an answer begins when the server has it whole
--- a/flintlatch/http/node.py
+++ b/flintlatch/http/node.py
@@ -65,11 +65,7 @@
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=HIGH_BYTES)
         bound_buffers(transport, False)
-        self.backend.connecting.discard(self)
-        if self.attempt is not None:
-            self.carry(self.attempt)
-        else:
-            self.close()
+        self.came_up()
 
     def carry(self, attempt: Attempt) -> None:
         assert self.transport is not None
--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 from collections.abc import Callable
+from math import inf
 
 from flintlatch.api import Result, ServerState
 from flintlatch.net.clock import now_ms
@@ -40,10 +41,13 @@
         body: bytes,
         limit_ms: float,
         done: Callable[[Attempt, Result, Response | None], None],
+        within_ms: float = inf,
     ) -> None:
         self.uid, self.head, self.body, self.done = uid, head, body, done
         self.started = now_ms()
         self.deadline = self.started + limit_ms
+        # Servers drop a repeat for so long only: a connection that comes up later must not carry it.
+        self.write_by = self.started + within_ms
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.ended = False
@@ -94,11 +98,20 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        self.came_up()
+
+    def came_up(self) -> None:
+        """Carry what it was opened for, unless nobody waits for that, or it is too late to be written."""
         self.backend.connecting.discard(self)
-        if self.attempt is not None:
-            self.carry(self.attempt)
-        else:
+        attempt = self.attempt
+        if attempt is None:
             self.close()
+        elif now_ms() > attempt.write_by:
+            self.attempt = attempt.connection = None
+            self.pool.put_back(self)
+            attempt.end(Result.CONNECT_FAILED)
+        else:
+            self.carry(attempt)
 
     def carry(self, attempt: Attempt) -> None:
         self.attempt, attempt.connection = attempt, self
--- a/flintlatch/net/relay.py
+++ b/flintlatch/net/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 from typing import NamedTuple, cast
 
 from flintlatch.api import (
@@ -48,8 +49,9 @@
         exchange: Exchange,
         limit_ms: float,
         done: Callable[[Attempt, Result, ReadWhole | None], None],
+        within_ms: float = inf,
     ) -> None:
-        super().__init__(uid, b"", b"", limit_ms, done)
+        super().__init__(uid, b"", b"", limit_ms, done, within_ms)
         self.exchange = exchange
         self.whole_ms = self.started if exchange.upload.complete else 0.0  # when its node had all of it
         self.told: StreamStarted | None = None  # its answer has begun
@@ -248,6 +250,7 @@
             exchange,
             action.limit_ms,
             lambda ended, result, _: self._on_end(held, number, cast(RelayAttempt, ended), result),
+            action.within_ms,
         )
         held.attempts.append(attempt)
         if held.over or number >= self.settings.most_attempts or exchange.upload.gone:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -498,3 +498,23 @@
             other.close()
 
     run(test())
+
+
+def test_a_connection_that_comes_up_too_late_carries_no_repeat_and_is_kept_for_others() -> None:
+    """Servers drop a keyed request's repeats for a while only: one written after that would run again."""
+
+    async def test() -> None:
+        async with tries() as (attempts, peer):
+            late = Attempt(
+                "s", HEAD + b"content-length: 0\r\n", b"", 30000.0,
+                lambda _, *outcome: attempts.outcomes.put_nowait(outcome), 0.0,
+            )  # fmt: skip
+            await asyncio.sleep(0.002)
+            attempts.pool.start(late)
+            assert await attempts.result() is Result.CONNECT_FAILED
+            assert peer.calls.empty()
+            first = await attempts.served(peer)
+            assert len(attempts.pool.connections) == 1  # on the one that came up late
+            assert await attempts.served(peer) == first
+
+    run(test())
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -479,3 +479,79 @@
     driver = Driver(settings(proxies=60, warm_keys=True), *servers)
     crowded(driver, servers, 1.0, 5, 3000)
     assert driver.balancer.reach == 1.0
+
+
+def test_a_key_asked_for_by_all_is_drawn_from_as_many_servers_as_it_fills() -> None:
+    """A fifth of all requests has one key: two of 20 servers would get five times what others do."""
+    driver = keyed(0, [s._replace(weight=1.5) for s in fleet(20)])
+    rng = Random(5)
+    hot: Counter[str] = Counter()
+    rare: dict[int, set[str]] = {}
+    for n in range(1500):
+        key = 7 if n % 5 == 0 else rng.randrange(1000, 1400)
+        request = driver.arrive(key=key)
+        server = driver.sends[request][0]
+        if n >= 500 and key == 7:
+            hot[server] += 1
+        elif n >= 500:
+            rare.setdefault(key, set()).add(server)
+        driver.end(request, after=1.0, delay=50.0)
+        driver.beat(50.0)
+    assert len(hot) >= 4 and max(hot.values()) < 0.45 * sum(hot.values())
+    assert max(len(servers) for servers in rare.values()) <= 2
+    assert len(driver.balancer.met) < 420  # keys not met for long are forgotten
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_servers_replaced_at_once_get_no_more_of_all_proxies_than_they_can_bear(seed: int) -> None:
+    """6 of 12 servers are new: 60 proxies with uneven traffic each have a budget, and the sum counts."""
+    cold: dict[str, Any] = {
+        "start_capacity": 0.12,
+        "cold_ms": 20_000.0,
+        "fall_ms": 1500.0,
+        "fall_multiple": 3.0,
+    }
+    more = cold | {"warm_keys": True, "live_weights": True, "most_attempts": 6}
+    servers = [s._replace(weight=1.5) for s in fleet(12)]
+    drivers = [Driver(settings(proxies=60, me=me, **more), *servers, seed=60 * seed + me) for me in range(60)]
+    rng = Random(seed)
+    parts = [5.0 if me % 10 == 0 else rng.uniform(0.4, 1.2) for me in range(60)]
+    per_ms, start, now = 0.24, drivers[0].now, drivers[0].now  # 20 a second for each of 12 servers
+    busy: list[tuple[float, Driver, str]] = []
+    sent: dict[str, list[float]] = {}
+    new = [ServerInfo(f"new.{i}:80", started=start + 4000.0, weight=1.5) for i in range(6)]
+    gone = [s._replace(state=ServerState.GONE) for s in servers[:6]]
+    while now < start + 14_000:
+        now += 50
+        for driver in drivers:
+            driver.now = now
+            listed = now == start + 4000
+            driver.step(TimerFired(0), *([ServerList(ListKind.CHANGES, (*gone, *new))] if listed else []))
+        for due in [b for b in busy if b[0] <= now]:
+            busy.remove(due)
+            due[1].end(due[2], after=0.0, delay=60.0)
+        for driver in rng.choices(drivers, parts, k=int(per_ms * 50)):
+            name = driver.arrive(key=rng.randrange(300))
+            if name in driver.sends:
+                busy.append((now + 60, driver, name))
+                sent.setdefault(driver.sends[name][0], []).append(now - start - 4000)
+    for server in new:
+        times = sent[server.server]
+        for first in times:
+            present = 0.12 + 0.88 * first / 20_000
+            # A warm server of this deployment can do 30 requests a second.
+            assert len([t for t in times if first <= t < first + 1500]) < 3 * present * 30 * 1.5
+        assert len(times) > 30  # it is used, and so it warms up
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_what_a_warm_server_carries_is_not_overstated_where_each_is_met_seldom(seed: int) -> None:
+    """20 requests a second over 100 servers: a second's count is none or one, and cold budgets go by it."""
+    driver = Driver(settings(proxies=100, warm_keys=True), *fleet(100), seed=seed)
+    rng, rates = Random(seed), []
+    for n in range(400):
+        driver.end(driver.arrive(key=rng.randrange(400)), after=25.0, delay=40.0)
+        driver.beat()
+        if n > 200:
+            rates.append(driver.balancer.warm_rate[0])
+    assert 0.15 < sum(rates) / len(rates) < 0.28
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -41,6 +41,8 @@
     RequestClass(500.0, 900.0, Effect.KEYED, Scope.ZONE, 400.0, worth=2.0),
 )
 CONFIGS = (
+    Settings(CLASSES, proxies=40, may_cancel=True, may_duplicate=True, most_attempts=6, warm_keys=True,
+             live_weights=True, start_capacity=0.1, cold_ms=5000.0, tick_ms=5.0),
     Settings(CLASSES, proxies=3, may_cancel=True, most_attempts=4, tick_ms=5.0),
     Settings(CLASSES, quotas=(5.0, 2.0), over_share_worth=0.1, most_attempts=2, ask_for_list=True),
     Settings(CLASSES, proxies=2, may_cancel=True, may_duplicate=True, may_probe=True, most_attempts=6,
@@ -123,6 +125,8 @@
             raise AssertionError("unsafe sent again")
         if ran and spec.effect is Effect.KEYED:
             assert self.now <= ran[0].at + spec.window_ms, "repeat outside the window"
+            # It is also to be written by then, however long its connection takes to come up.
+            assert self.now + action.within_ms <= ran[0].at + spec.window_ms + 0.001, "written too late"
             home = ran[0].home
             assert spec.scope is not Scope.CELL or entry.cell == home.cell
             assert spec.scope is not Scope.ZONE or entry.zone == home.zone
