Never call off an answer that is being passed on; give a new list service its callers by turns

Second, found by playing 200 modules against a service that takes 35 ms a call: on_moved asked at once in each, so that 2,020 calls were made and the last proxy heard after 9.2 s.

Change: call_off spares what has begun and is done as soon as an answer begins. Of many proxies each first call to a new list service has its turn within 5 s.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -59,6 +59,7 @@
 ASK_TURN_MS, ASK_SPREAD = 200.0, 0.7  # ms of each proxy's turn at the list; part of the obliged time for all
 ASK_RETRY_MS = 10.0  # ms of each proxy's turn after a failed call
 MOVED_MS = 4000.0  # ms after a move to another list service in which its news counts as told
+MOVED_SPAN_MS = 5000.0  # ms over which many proxies make their first call there: the service takes as long
 MOVED_RETRY_MS = 200.0  # ms at most until a failed call to such a service is made again within that time
 WARM_KEEP = 0.9  # part of the load known of a warm server that is kept each second without one to look at
 COLD_HEAT = 1.2  # times its part of a warm server's load that a cold one gets, or half the rule's multiple;
@@ -321,9 +322,8 @@
         if self.settings.ask_for_list:
             # Proxies restarted together must not call the list service in the same moment: each has its
             # turn. Past the time the settings oblige, a proxy counts as told of drains it never heard of.
-            proxies, me = self.settings.proxies, self.settings.me
-            span = min(ASK_TURN_MS * proxies, ASK_SPREAD * self.settings.must_ask_ms)
-            self.ask_at = now + span * (me % proxies + self.rng.random()) / proxies
+            span = min(ASK_TURN_MS * self.settings.proxies, ASK_SPREAD * self.settings.must_ask_ms)
+            self.ask_at = now + self.turn(span)
 
     def unavailable(self, now: float) -> int:
         """Servers on the list that get nothing new for now: draining, resting, or on trial after a rest."""
@@ -443,13 +443,19 @@
             self.learn_end(now, attempt.server, event.result, attempt.begun)
             request.time_from(now, now)  # what it took was the upload's time
         if event.finished or request.over:
-            if not request.over and self.settings.may_cancel:  # a second copy is of no more use
-                self.out.extend(Cancel(request.id, n) for n, a in enumerate(request.attempts) if a.open)
+            if not request.over:
+                self.call_off(request)
             self.close(request)
             return
         if request.open == 0:
             self.again(now, request, event.result)
 
+    def call_off(self, request: Request) -> None:
+        """Its answer is here, or has begun: another copy is of no more use."""
+        if self.settings.may_cancel:
+            rest = [n for n, a in enumerate(request.attempts) if a.open and not a.begun]
+            self.out.extend(Cancel(request.id, n) for n in rest)
+
     def enter(self, request: Request, attempt: Attempt) -> None:
         """Count it where it is now: at work at its server, or a transfer."""
         server = attempt.server
@@ -668,6 +674,7 @@
         request, attempt = found
         request.stream, request.held = True, False
         attempt.begun = True
+        self.call_off(request)
         if attempt.at_work:
             self.leave(request, attempt, event.delay)
             attempt.at_work = False
@@ -735,9 +742,17 @@
     def on_moved(self, now: float) -> None:
         """Failures of the old service say nothing of the new one, and its drains count as told soon."""
         self.ask_failures, self.moved_at = 0, now
+        if self.many:  # all are told at once: most of their calls would wait too long, fail, and come again
+            self.ask_at = now + self.turn(MOVED_SPAN_MS)
+            return
         self.ask_at = now + self.settings.must_ask_ms / 2  # should no word come back
         self.out.append(Watch())
 
+    def turn(self, span: float) -> float:
+        """When this proxy calls the list service, if all do so within `span`."""
+        proxies, me = self.settings.proxies, self.settings.me
+        return span * (me % proxies + self.rng.random()) / proxies
+
     def choose_near(self, now: float) -> None:
         """Of many proxies each keeps to a few servers by hash, more with more traffic: few are soon known and
         have few connections each. Cold ones only of the own zone: their budget is part of the load there."""
--- a/tests/test_second_copies.py
+++ b/tests/test_second_copies.py
@@ -21,6 +21,7 @@
     Scope,
     Send,
     ServerInfo,
+    StreamStarted,
 )
 from tests.support import Driver, of, settings
 
@@ -171,3 +172,18 @@
     for number in (0, 1):
         driver.step(Outcome(request, number, Result.CANCELLED, 200.0, True))
     assert request not in driver.balancer.requests
+
+
+@pytest.mark.parametrize("begun", [0, 1])
+def test_a_copy_whose_answer_is_being_passed_on_is_never_called_off(begun: int) -> None:
+    """The other one is, at once; and whatever it brings in the same moment ends nothing of the answer."""
+    driver = copying()
+    request = driver.arrive()
+    driver.beats(225)
+    actions = driver.step(StreamStarted(request, begun, 200.0, Result.OK))
+    assert of(Cancel, actions) == [Cancel(request, 1 - begun)]
+    actions = driver.step(Outcome(request, 1 - begun, Result.OK, 200.0, True))
+    actions += driver.beats(500)
+    assert not of(Cancel, actions) and not of(Send, actions) and not of(Fail, actions)
+    actions = driver.step(Outcome(request, begun, Result.OK, 700.0, True))
+    assert not of(Fail, actions) and request not in driver.balancer.requests
