Even out what one of many knows of warm servers; bench of cold servers over a whole tier

Change: one of many evens its rate out (USAGE_STEP) and takes the mean. bench/many.py: modules on one clock before queues that start cold, six in ten replaced or a third silent for 5 s; a window counts if two thirds of it came from proxies that knew, as the rule has it.

--- /dev/null
+++ b/bench/many.py
@@ -0,0 +1,335 @@
+"""Many proxies before many servers in virtual time: what all of them together do to servers that start cold.
+
+    python -m bench.many --seed 1 [--proxies 200] [--servers 200] [--seconds 20] [--only replace|zone]
+
+Each proxy is a decision module of its own; servers are queues of one core that work slower while they are
+cold. `replace`: six in ten servers are replaced within 7 s. `zone`: a third of them falls silent for 5 s and
+comes back cold. Traffic is split unevenly over the proxies, keys over their popularity. The last line has the
+largest part of the rule's budget that any cold server was sent in any window, by all proxies together; the
+exit code is 1 if that is over one, if a request got no answer or two, or if a server was not used again.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from bisect import bisect_left
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from flintlatch.api import (
+    Action,
+    Arrival,
+    Cancel,
+    Effect,
+    Event,
+    Fail,
+    ListKind,
+    Outcome,
+    Refuse,
+    RequestClass,
+    Result,
+    Scope,
+    Send,
+    ServerInfo,
+    ServerList,
+    ServerState,
+    Settings,
+    TimerFired,
+)
+from flintlatch.choice import Balancer
+
+PURCHASE = RequestClass(300.0, 1200.0, Effect.KEYED, Scope.CELL, 750.0, worth=12.0)
+ANSWER = RequestClass(300.0, 750.0, Effect.UNSAFE, worth=1.0)
+WORK_MS = (32.0, 66.0)  # of each class on a core of speed one
+PURCHASES = 0.23  # part of all requests
+LOAD = 0.55  # of what all servers can do while they are warm
+START, COLD_MS = 0.12, 20_000.0  # part of its capacity that a server starts with; ms until it is warm
+MULTIPLE, WINDOW_MS = 3.0, 1500.0
+BEAT_MS = 25
+LIST_MS, LATE_MS = 500, 1000  # between two lists, and their age
+DRAIN_MS = 500  # from a server's drain to its end
+
+
+@dataclass
+class Server:
+    name: str
+    speed: float
+    cell: int
+    started: float | None = None
+    silent: bool = False
+    state: ServerState = ServerState.ACTIVE
+    free_at: float = 0.0
+    held: int = 0
+    # When, ms of work for a core of speed one, and whether its proxy had been told of the start.
+    sent: list[tuple[float, float, bool]] = field(default_factory=list)
+
+    @property
+    def kind(self) -> int:
+        return int(self.speed > 1)
+
+    def part(self, now: float) -> float:
+        """Of its capacity, at this moment."""
+        if self.started is None:
+            return 1.0
+        return min(1.0, START + (1 - START) * max(0.0, now - self.started) / COLD_MS)
+
+    def take(self, now: float, work_ms: float, mean_ms: float, knew: bool) -> float:
+        """When it will be done. By the budget it counts as usual for its class: how much work it turns out to
+        be nobody can know."""
+        self.sent.append((now, mean_ms, knew))
+        self.free_at = max(now, self.free_at) + work_ms / (self.speed * self.part(now))
+        return self.free_at
+
+    def worst(self) -> float:
+        """The largest part of its budget in any window since it started cold. A window counts if two thirds
+        of it came from proxies that knew: so the rule has it."""
+        if self.started is None:
+            return 0.0
+        sent = [row for row in self.sent if row[0] >= self.started]
+        times = [t for t, _, _ in sent]
+        sums, known = [0.0], [0.0]
+        for _, work, knew in sent:
+            sums.append(sums[-1] + work)
+            known.append(known[-1] + work * knew)
+        worst = 0.0
+        for first, t in enumerate(times):
+            last = bisect_left(times, t + WINDOW_MS)
+            came, told = sums[last] - sums[first], known[last] - known[first]
+            if self.part(t) < 1 and told >= 2 / 3 * came:
+                worst = max(worst, came / (MULTIPLE * self.speed * self.part(t) * WINDOW_MS))
+        return worst
+
+
+class World:
+    def __init__(self, proxies: int, servers: int, seed: int) -> None:
+        self.rng, self.now, self.ids = Random(seed), 0.0, count()
+        self.servers: dict[str, Server] = {}
+        self.made = count()
+        for _ in range(servers):
+            self.start(None)
+        config = Settings(
+            (PURCHASE, ANSWER),
+            proxies=proxies,
+            may_cancel=True,
+            may_duplicate=True,
+            most_attempts=6,
+            warm_keys=True,
+            live_weights=True,
+            tick_ms=5.0,
+            start_capacity=START,
+            cold_ms=COLD_MS,
+            fall_multiple=MULTIPLE,
+            fall_ms=WINDOW_MS,
+        )
+        self.proxies = [Balancer(replace(config, me=me), seed * 1000 + me) for me in range(proxies)]
+        # Most proxies see about the mean, one in ten several times that.
+        self.parts = [
+            4.0 if me % 10 == 3 else self.rng.uniform(0.3, 1.2) * (1 if me % 7 else 0.4)
+            for me in range(proxies)
+        ]
+        self.keys = [1 / rank**0.8 for rank in range(1, 801)]
+        self.due: list[tuple[float, int, int, Event]] = []  # when, tie-break, proxy, what
+        self.open: dict[str, int] = {}  # requests without a final answer, by proxy
+        self.attempts: dict[tuple[str, int], Server] = {}
+        self.classes: dict[str, int] = {}
+        self.answers: dict[str, int] = {}
+        self.asked = [0.0, 0.0]
+        self.served = [0.0, 0.0]
+        self.history: deque[tuple[float, tuple[ServerInfo, ...]]] = deque()
+
+    def start(self, started: float | None) -> Server:
+        number = next(self.made)
+        server = Server(f"s{number}", self.rng.choice((0.95, 1.5)), number // 4, started)
+        self.servers[server.name] = server
+        return server
+
+    def listing(self) -> tuple[ServerInfo, ...]:
+        return tuple(
+            ServerInfo(s.name, s.state, 0, s.kind, s.cell, s.started, (1.0, 1.5)[s.kind] / (1 + s.held))
+            for s in self.servers.values()
+        )
+
+    def step(self, me: int, events: list[Event]) -> None:
+        for action in self.proxies[me].step(self.now, events):
+            self.carry_out(me, action)
+
+    def at(self, when: float, me: int, event: Event) -> None:
+        heappush(self.due, (when, next(self.ids), me, event))
+
+    def carry_out(self, me: int, action: Action) -> None:
+        if isinstance(action, Send):
+            number = sum(1 for name, _ in self.attempts if name == action.request)
+            server = self.servers.get(action.server)
+            cls = self.classes[action.request]
+            if server is None:
+                self.attempts[action.request, number] = Server("gone", 1.0, 0)
+                self.at(self.now + 1, me, Outcome(action.request, number, Result.CONNECT_FAILED, 1.0, False))
+                return
+            self.attempts[action.request, number] = server
+            server.held += 1
+            known = self.proxies[me].servers.get(server.name)
+            knew = known is not None and known.cold_until > self.now
+            work_ms = WORK_MS[cls] * self.rng.lognormvariate(-0.1, 0.45)
+            done = server.take(self.now, work_ms, WORK_MS[cls], knew)
+            limit = self.now + action.limit_ms
+            if server.silent or done > limit:
+                ended, result = limit, Result.TIMEOUT
+                server.free_at = min(server.free_at, max(self.now, limit))  # what is called off stops
+            else:
+                ended, result = done, Result.OK
+            self.at(ended, me, Outcome(action.request, number, result, ended - self.now, False))
+        elif isinstance(action, (Fail, Refuse)):
+            self.final(action.request, False)
+        elif isinstance(action, Cancel):
+            self.at(self.now, me, Outcome(action.request, action.attempt, Result.CANCELLED, 1.0, True))
+
+    def final(self, request: str, served: bool) -> None:
+        self.answers[request] = self.answers.get(request, 0) + 1
+        self.open.pop(request, None)
+        if served:
+            self.served[self.classes[request]] += 1
+
+    def outcome(self, me: int, event: Outcome) -> None:
+        server = self.attempts.pop((event.request, event.attempt), None)
+        if server is None:
+            return  # it has ended before it was called off
+        self.attempts[event.request, event.attempt] = ENDED
+        server.held -= 1
+        finished = event.request not in self.open
+        if event.result is Result.OK and not finished:
+            self.final(event.request, True)
+            finished = True
+        self.step(me, [event._replace(finished=finished)])
+
+    def arrive(self) -> None:
+        me = self.rng.choices(range(len(self.proxies)), self.parts)[0]
+        name, cls = f"r{next(self.ids)}", int(self.rng.random() >= PURCHASES)
+        key = self.rng.choices(range(len(self.keys)), self.keys)[0]
+        self.classes[name], self.open[name] = cls, me
+        self.asked[cls] += 1
+        wait = (PURCHASE, ANSWER)[cls].deadline_ms * 0.45
+        self.step(me, [Arrival(name, cls, 0, key * 7919, self.now + wait)])
+
+    def tick(self, ms: int, per_ms: float) -> None:
+        until = self.now + ms
+        coming = sorted(self.now + self.rng.random() * ms for _ in range(poisson(self.rng, per_ms * ms)))
+        for when in coming:
+            self.run(when)
+            self.now = when
+            self.arrive()
+        self.run(until)
+        self.now = until
+        for me in range(len(self.proxies)):
+            self.step(me, [TimerFired(0)])
+
+    def run(self, until: float) -> None:
+        while self.due and self.due[0][0] <= until:
+            when, _, me, event = heappop(self.due)
+            self.now = max(self.now, when)
+            if isinstance(event, Outcome):
+                self.outcome(me, event)
+
+    def tell(self) -> None:
+        """A list as it was a while ago, with what has changed told at once to nobody."""
+        self.history.append((self.now, self.listing()))
+        while len(self.history) > 1 and self.history[1][0] <= self.now - LATE_MS:
+            self.history.popleft()
+        news = ServerList(ListKind.FULL, self.history[0][1])
+        for me in range(len(self.proxies)):
+            self.step(me, [news])
+
+
+ENDED = Server("ended", 1.0, 0)
+
+
+def poisson(rng: Random, mean: float) -> int:
+    total, n = rng.expovariate(1.0), 0
+    while total < mean:
+        total, n = total + rng.expovariate(1.0), n + 1
+    return n
+
+
+def troubles(world: World, name: str, struck: list[Server], at: float) -> Iterator[None]:
+    """One step for each beat: what happens to the servers."""
+    if name == "zone":
+        for server in struck:
+            server.silent = True
+        while world.now < at + 5000:
+            yield
+        for server in struck:
+            server.silent, server.started, server.free_at = False, world.now, world.now
+        return
+    gone: list[tuple[float, Server]] = []
+    for place, server in enumerate(struck):
+        while world.now < at + 7000 * place / len(struck):
+            yield
+        server.state = ServerState.DRAINING
+        gone.append((world.now + LATE_MS + LIST_MS + DRAIN_MS, server))
+        world.start(world.now)
+        while gone and gone[0][0] <= world.now:
+            del world.servers[gone.pop(0)[1].name]
+
+
+def play(name: str, proxies: int, servers: int, seconds: int, seed: int) -> tuple[float, list[str]]:
+    world = World(proxies, servers, seed)
+    everyone = list(world.servers.values())
+    struck = world.rng.sample(everyone, servers * 6 // 10 if name == "replace" else servers // 3)
+    capacity = sum(s.speed for s in everyone) / (PURCHASES * WORK_MS[0] + (1 - PURCHASES) * WORK_MS[1])
+    at, trouble = 4000.0, None
+    for beat in range(seconds * 1000 // BEAT_MS):
+        if beat % (LIST_MS // BEAT_MS) == 0:
+            world.tell()
+        if world.now >= at:
+            trouble = trouble or troubles(world, name, struck, at)
+            next(trouble, None)
+        world.tick(BEAT_MS, capacity * LOAD)
+    for _ in range(2000 // BEAT_MS):
+        world.tick(BEAT_MS, 0.0)
+    cold = [s for s in world.servers.values() if s.started is not None]
+    worst = max((s.worst() for s in cold), default=0.0)
+    broken = []
+    if worst > 1:
+        broken.append(f"a cold server was sent {worst:.2f} of its budget")
+    if world.open:
+        broken.append(f"{len(world.open)} requests got no answer")
+    if doubled := sum(n != 1 for n in world.answers.values()):
+        broken.append(f"{doubled} requests got more than one answer")
+    early = [s for s in cold if (s.started or 0.0) < world.now - 5000]
+    if idle := sum(not any(t >= (s.started or 0.0) + 1000 for t, _, _ in s.sent) for s in early):
+        broken.append(f"{idle} of {len(early)} servers were not used once they had started")
+    parts = [s / max(a, 1) for s, a in zip(world.served, world.asked, strict=True)]
+    print(
+        f"{name}: {proxies} proxies, {servers} servers, {len(cold)} started cold, {int(sum(world.asked))}"
+        f" requests; served {parts[0]:.3f} of purchases, {parts[1]:.3f} of answers;"
+        f" most of a cold budget {worst:.2f}"
+    )
+    return worst, broken
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--proxies", type=int, default=200)
+    parser.add_argument("--servers", type=int, default=200)
+    parser.add_argument("--seconds", type=int, default=20)
+    parser.add_argument("--only", choices=("replace", "zone"))
+    args = parser.parse_args()
+    print(f"seed {args.seed}")
+    worst = 0.0
+    broken: list[str] = []
+    for name in (args.only,) if args.only else ("replace", "zone"):
+        most, bad = play(name, args.proxies, args.servers, args.seconds, args.seed)
+        worst, broken = max(worst, most), broken + [f"{name}: {what}" for what in bad]
+    for line in broken:
+        print(line)
+    print(f"most of a cold server's budget {worst:.2f}, {'broken' if broken else 'held'}")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -881,11 +881,16 @@
         # The better half tells what a server of this kind carries: slow and resting ones hide it. Not to one
         # of many proxies: of counts that are nearly all none or one a second that half is twice the mean.
         # Held for a while, for when a release leaves no warm server to look at.
+        before = self.warm_rate
         self.warm_rate = {kind: rate * WARM_KEEP for kind, rate in self.warm_rate.items()}
         for kind, servers in warm.items():
             rates = sorted(s.rate for s in servers)
             half = rates if self.many else rates[len(rates) // 2 :]
-            self.warm_rate[kind] = max(self.warm_rate.get(kind, 0.0), sum(half) / len(half))
+            mean = sum(half) / len(half)
+            # The larger of two means by chance is too large: one of many evens out what it sees instead.
+            seen = before.get(kind, mean)
+            even = seen + (mean - seen) * USAGE_STEP
+            self.warm_rate[kind] = even if self.many else max(self.warm_rate.get(kind, 0.0), mean)
             self.warm_floor[kind] = sum(s.floor for s in servers) / len(servers)
 
     def find_part(self, seconds: float) -> None:
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -26,6 +26,7 @@
         "--seconds",
         "4",
     ],
+    "many": ["-m", "bench.many", "--seed", "5", "--proxies", "24", "--servers", "16", "--seconds", "10"],
     "operations": ["-m", "bench.operations", "--seed", "5", "--times", "1", "--rate", "60"],
     "demo": ["-m", "flintlatch", "demo", "--seed", "5", "--instances", "2", "--seconds", "4"],
 }
