Wait at a stop for requests that came after a moment with nobody connected

Frontend._freed sets `empty` when the last client leaves while a stop is on, also in the 0.55 s in which connections are still accepted, and finish then found the event set and waited for nothing.

Change: finish clears the event before it waits, and takes what waits in the kernel's queue before it closes the listening socket.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -488,11 +488,14 @@
 
     async def finish(self, within_s: float) -> None:
         """Accept no more, close between requests, and wait until nothing is open."""
+        self.accept_waiting()  # what waits in the kernel's queue may hold a request that was sent in time
         self.stop_accepting()
         for client in [*self.idle, *(client for client in self.waiting if not client.begun)]:
             if not unread(client.transport):  # else it has just been asked, and answers first
                 client.transport.close()
         if self.held:
+            # A proxy with little to do may have been empty for a moment since it was told to stop.
+            self.empty.clear()
             try:
                 async with asyncio.timeout(within_s):
                     await self.empty.wait()
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -466,3 +466,46 @@
                 await p.client()
 
     run(test())
+
+
+def test_a_stop_waits_for_what_came_after_a_moment_with_nobody_connected() -> None:
+    """While it still accepts, its only client leaves and another one comes: that one's request is taken."""
+
+    async def test() -> None:
+        async with proxy() as p:
+            first = await p.client()
+            assert (await first.ask("/health/ready", "GET")).status == 200
+            p.frontend.stop_keeping()
+            first.close()
+            while p.frontend.held:
+                await asyncio.sleep(0.001)
+            late = await Client.open(p.frontend.address)
+            late.send()
+            call = await p.backends[0].calls.get()
+            ended = asyncio.create_task(p.frontend.finish(30.0))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert not ended.done()
+            call.reply(b"last")
+            reply = await late.reply()
+            assert (reply.status, reply.body) == (200, b"last")
+            late.close()
+            await ended
+
+    run(test())
+
+
+def test_a_stop_serves_what_waits_in_the_queue_of_connections() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            p.frontend.stop_keeping()
+            p.frontend._accept_off()  # busy elsewhere
+            late = await Client.open(p.frontend.address)
+            late.send()
+            ended = asyncio.create_task(p.frontend.finish(30.0))
+            (await p.backends[0].calls.get()).reply(b"last")
+            assert (await late.reply()).body == b"last"
+            late.close()
+            await ended
+
+    run(test())
