Don't rest a server for a repeat that came too late, and drop what stood twice

Cause: the whole change read once more. A repeat whose connection comes up behind its window ended as CONNECT_FAILED, for which one of many proxies rests a server at once, though it had just taken a connection (backends.Connection.came_up). Keys were placed by the largest weight of a kind also where weights tell of size alone, and servers of a kind may differ there (Balancer.size_up). finish looked at the kernel's queue, which the fleet's worker did just before it. The budget's room for chance was worked out as a factor and multiplied again, for each cold server at each beat.

Change: NOT_SENT for the late repeat; a size on each server, its own unless weights are live; one look at the queue, in finish; the mean taken directly. The test of 60 proxies before replaced servers passed on the old estimate too: its bound is 0.65 of the budget now. What two tests said twice is one constant.

--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -97,6 +97,7 @@
         self.state, self.zone, self.kind, self.cell = info.state, info.zone, info.kind, info.cell
         self.inflight, self.rank, self.weight = 0, 0, 1.0  # in flight: at work there
         self.nominal = 0.0  # its weight with nothing to do, where weights tell of load
+        self.size = 1.0  # by which keys are placed
         self.transfers, self.transfer_bytes = 0, 0  # bodies on their way, which cost it no work
         self.forget()
 
@@ -260,7 +261,6 @@
         self.crowd, self.crowd_samples = 0.0, 0  # smoothed latency as a part of the aim, all servers
         self.servers: dict[str, Server] = {}
         self.active: list[Server] = []
-        self.sizes: dict[int, float] = {}  # of a server with nothing to do, by kind
         self.met: dict[int, float] = {}  # arrivals of late by key, as one of many proxies
         self.met_all = 0.0
         self.orders: dict[int, list[Server]] = {}  # by key, the servers that it meets first
@@ -713,11 +713,13 @@
     def size_up(self, changed: bool) -> None:
         """Keys are placed by size. Where weights tell of load, a server's size is the largest that any of its
         kind has shown with nothing to do: the same at every proxy within moments of its start."""
-        sizes: dict[int, float] = {}
+        largest: dict[int, float] = {}
         for s in self.active:
-            sizes[s.kind] = max(s.nominal, sizes.get(s.kind, 0.0))
-        if changed or sizes != self.sizes:
-            self.sizes = sizes
+            largest[s.kind] = max(s.nominal, largest.get(s.kind, 0.0))
+        for s in self.active:
+            size = largest[s.kind] if self.settings.live_weights else s.nominal
+            changed, s.size = changed or size != s.size, size
+        if changed:
             self.orders.clear()
 
     def weigh(self, now: float) -> None:
@@ -916,15 +918,15 @@
             # It has shown its speed: measured against the uncrowded latency of warm ones of its kind.
             part = max(part, min(1.0, self.warm_floor[server.kind] / server.latency))
         known = [self.warm_rate[server.kind]] if server.kind in self.warm_rate else self.warm_rate.values()
-        warm = min(known, default=0.0)
-        heat = min(COLD_HEAT, settings.fall_multiple / 2)
+        rate = min(known, default=0.0) * part / 1000
         if self.many:
-            # What comes of all proxies in a window is a matter of chance: of few requests most of the budget
-            # is left for it, three deviations above what is expected.
-            budget = settings.fall_multiple * part * warm * settings.proxies * settings.fall_ms / 1000
-            spare = (sqrt(budget + CHANCE**2 / 4) - CHANCE / 2) ** 2 / max(budget, 0.001)
-            heat = settings.fall_multiple * min(COLD_OF_MANY, spare)
-        rate = warm * part * heat / 1000
+            # What comes of all proxies in a window is a matter of chance: the mean and some deviations of it
+            # have to fit, so of few requests most of the budget is left.
+            window = settings.fall_ms * settings.proxies
+            budget = settings.fall_multiple * rate * window
+            rate = min(COLD_OF_MANY * budget, (sqrt(budget + CHANCE**2 / 4) - CHANCE / 2) ** 2) / window
+        else:
+            rate *= min(COLD_HEAT, settings.fall_multiple / 2)
         # Nothing observed yet: one request a window, of all who keep to this server.
         sharers = max(1.0, settings.proxies * self.near_size / max(len(self.active), 1))
         rate = max(rate, 1 / settings.fall_ms / (sharers if self.many else 1))
@@ -1027,7 +1029,7 @@
 
     def place(self, key: int, server: Server) -> float:
         """Weighted rendezvous hash: a server gets keys in proportion to its size, the same at every proxy."""
-        return log((affinity(key, server) + 0.5) / 2.0**64) / self.sizes.get(server.kind, 1.0)
+        return log((affinity(key, server) + 0.5) / 2.0**64) / server.size
 
     def draw(self, servers: list[Server]) -> Server:
         """In proportion to registered size: few in flight, ties alone would load small servers like large."""
--- a/flintlatch/fleet/worker.py
+++ b/flintlatch/fleet/worker.py
@@ -189,10 +189,8 @@
             frontend.stop_accepting()
         idle = self.loop.create_task(asyncio.sleep(self.config.drain.idle_s))
         await self._unless_over(idle)
-        if last:
-            frontend.accept_waiting()
-        # The connections that were accepted in this moment have their requests in the kernel by now, or not
-        # at all; `finish` looks before it closes.
+        # The last process at this address accepts what waits there, and closes nothing that has been asked:
+        # `finish` looks at both.
         await self._unless_over(self.loop.create_task(frontend.finish(self.config.drain.limit_s)))
         if self.limit.is_set():
             engine.give_up_all()
--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -109,7 +109,7 @@
         elif now_ms() > attempt.write_by:
             self.attempt = attempt.connection = None
             self.pool.put_back(self)
-            attempt.end(Result.CONNECT_FAILED)
+            attempt.end(Result.NOT_SENT)  # its server is well: a failure would rest it
         else:
             self.carry(attempt)
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -511,7 +511,7 @@
             )  # fmt: skip
             await asyncio.sleep(0.002)
             attempts.pool.start(late)
-            assert await attempts.result() is Result.CONNECT_FAILED
+            assert await attempts.result() is Result.NOT_SENT
             assert peer.calls.empty()
             first = await attempts.served(peer)
             assert len(attempts.pool.connections) == 1  # on the one that came up late
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -22,6 +22,12 @@
 from tests.support import Driver, fleet, settings
 
 MANY = {"proxies": 300, "zones": 2}
+COLD: dict[str, Any] = {
+    "start_capacity": 0.12,
+    "cold_ms": 20_000.0,
+    "fall_ms": 1500.0,
+    "fall_multiple": 3.0,
+}
 
 
 def zones(n: int) -> list[ServerInfo]:
@@ -505,13 +511,7 @@
 @pytest.mark.parametrize("seed", range(4))
 def test_servers_replaced_at_once_get_no_more_of_all_proxies_than_they_can_bear(seed: int) -> None:
     """6 of 12 servers are new: 60 proxies with uneven traffic each have a budget, and the sum counts."""
-    cold: dict[str, Any] = {
-        "start_capacity": 0.12,
-        "cold_ms": 20_000.0,
-        "fall_ms": 1500.0,
-        "fall_multiple": 3.0,
-    }
-    more = cold | {"warm_keys": True, "live_weights": True, "most_attempts": 6}
+    more = COLD | {"warm_keys": True, "live_weights": True, "most_attempts": 6}
     servers = [s._replace(weight=1.5) for s in fleet(12)]
     drivers = [Driver(settings(proxies=60, me=me, **more), *servers, seed=60 * seed + me) for me in range(60)]
     rng = Random(seed)
@@ -540,7 +540,7 @@
         for first in times:
             present = 0.12 + 0.88 * first / 20_000
             # A warm server of this deployment can do 30 requests a second.
-            assert len([t for t in times if first <= t < first + 1500]) < 3 * present * 30 * 1.5
+            assert len([t for t in times if first <= t < first + 1500]) < 0.65 * 3 * present * 30 * 1.5
         assert len(times) > 30  # it is used, and so it warms up
 
 
@@ -561,13 +561,7 @@
 @pytest.mark.parametrize("age", [0.0, 0.2, 0.6])
 def test_what_all_proxies_may_send_to_a_cold_server_leaves_room_for_chance(warm: float, age: float) -> None:
     """200 proxies: nobody deals out who sends when, so a window holds its mean and what chance adds to it."""
-    cold: dict[str, Any] = {
-        "start_capacity": 0.12,
-        "cold_ms": 20_000.0,
-        "fall_ms": 1500.0,
-        "fall_multiple": 3.0,
-    }
-    driver = Driver(settings(proxies=200, warm_keys=True, **cold), ServerInfo("old:1"))
+    driver = Driver(settings(proxies=200, warm_keys=True, **COLD), ServerInfo("old:1"))
     driver.beat()
     started = driver.now - age * 20_000.0
     driver.step(ServerList(ListKind.CHANGES, (ServerInfo("new:1", started=started),)))
@@ -582,3 +576,12 @@
     budget = 3.0 * (0.12 + 0.88 * middle) * warm * 200 * 1.5
     assert mean + 3 * mean**0.5 <= budget * 1.05 + 0.2 or mean <= 1.1  # one in a window it always gets
     assert mean >= 0.2 * budget or mean >= 0.9  # and it is warmed up all the same
+
+
+def test_weights_that_tell_of_size_alone_place_keys_by_each_servers_own() -> None:
+    servers = [s._replace(weight=1.0 + 3.0 * (i % 2)) for i, s in enumerate(fleet(10))]
+    driver = Driver(settings(warm_keys=True), *servers)
+    firsts = Counter(
+        max(driver.balancer.active, key=lambda s: place(driver, k, s)).weight for k in range(600)
+    )
+    assert 3.0 < firsts[4.0] / firsts[1.0] < 5.5
