Tell the decision module how many proxies there are; connections from a stated host

Need: how many instances there are was a number in a file, and what hangs on it (limits, floors, quotas, turns) could not follow fleets that come and go; and relays between real processes can tell who sends only by the address that it sends from. Change: event Proxies(proxies, me): what is a part of something shared becomes another part, nothing that was learned is forgotten. The engine asks what others agreed on before each step (Engine.agreed), so that the end of a word is tested when it is used. Wire.source_host is the local address of connections to backends and discovery; empty, as on the platform, changes nothing.

--- a/flintlatch/api.py
+++ b/flintlatch/api.py
@@ -211,6 +211,13 @@
     """Lists come from another service from now on, which has not been asked yet."""
 
 
+class Proxies(NamedTuple):
+    """How many instances of this tier there are now, and which of them this one is."""
+
+    proxies: int
+    me: int
+
+
 class ProbeResult(NamedTuple):
     server: str
     result: Result
@@ -223,7 +230,7 @@
 
 Event = (
     Arrival | Outcome | StreamStarted | BodyCame | BodySent | BodyGone | ClientGone | ServerList
-    | ServiceMoved | ProbeResult | TimerFired
+    | ServiceMoved | Proxies | ProbeResult | TimerFired
 )  # fmt: skip
 
 # Actions
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import replace
 from heapq import heappop, heappush, nlargest
 from math import inf, log, sqrt
 from random import Random
@@ -18,8 +19,8 @@
 
 from flintlatch.api import (
     NEVER_RAN, Action, Arrival, BodyCame, BodyGone, BodySent, Cancel, ClientGone, Effect, Event, Fail, Limit,
-    ListKind, Log, Outcome, Refuse, RequestClass, Result, Scope, Send, ServerInfo, ServerList, ServerState,
-    ServiceMoved, SetTimer, Settings, StreamStarted, TimerFired, Watch,
+    ListKind, Log, Outcome, Proxies, Refuse, RequestClass, Result, Scope, Send, ServerInfo, ServerList,
+    ServerState, ServiceMoved, SetTimer, Settings, StreamStarted, TimerFired, Watch,
 )  # fmt: skip
 
 BEAT_MS = 25.0  # ms between housekeeping rounds: expiry and recovery need no finer grain
@@ -319,6 +320,8 @@
                 self.on_list(now, event)
             elif isinstance(event, ServiceMoved):
                 self.on_moved(now)
+            elif isinstance(event, Proxies):
+                self.on_proxies(now, event)
             elif isinstance(event, StreamStarted):
                 self.on_stream(now, event)
             elif isinstance(event, BodySent):
@@ -789,6 +792,22 @@
         proxies, me = self.settings.proxies, self.settings.me
         return span * (me % proxies + self.rng.random()) / proxies
 
+    def on_proxies(self, now: float, event: Proxies) -> None:
+        """Others have come or gone: what is a part of something that all share becomes another part of it.
+        Nothing that was learned is forgotten."""
+        before = self.settings
+        self.settings = settings = replace(before, proxies=max(event.proxies, 1), me=event.me)
+        self.many = settings.proxies > START_LIMIT
+        self.sparse = self.many and not settings.warm_keys
+        factor = before.proxies / settings.proxies
+        for server in self.servers.values():
+            server.proxies, server.limit = settings.proxies, server.limit * factor
+            server.rank = affinity(settings.me + 1, server)
+        self.allow *= factor
+        self.quota_left = [left * factor for left in self.quota_left]
+        self.part = min(1.0, max(self.part * factor, 1 / settings.proxies))
+        self.choose_near(now)
+
     def choose_near(self, now: float) -> None:
         """Of many proxies each keeps to a few servers by hash, more with more traffic: few are soon known and
         have few connections each. Cold ones only of the own zone: their budget is part of the load there."""
--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -159,7 +159,10 @@
 class Backends:
     make: Callable[[Backends, Backend], Connection] = Connection  # a front of another kind has its own
 
-    def __init__(self, connect_timeout_ms: float, conn_idle_ms: float, most: int) -> None:
+    def __init__(
+        self, connect_timeout_ms: float, conn_idle_ms: float, most: int, source_host: str = ""
+    ) -> None:
+        self.local = (source_host, 0) if source_host else None  # where connections come from
         self.connect_timeout_s, self.idle_ms = connect_timeout_ms / 1000, conn_idle_ms * IDLE_PART
         self.most = most  # connections, those being opened included
         self.on_written: Callable[[], None] = lambda: None  # told of each attempt that is written whole
@@ -238,7 +241,9 @@
         target = connection.backend.target
         try:
             async with asyncio.timeout(self.connect_timeout_s):
-                await self.loop.create_connection(lambda: connection, target.host, target.port)
+                await self.loop.create_connection(
+                    lambda: connection, target.host, target.port, local_addr=self.local
+                )
         except OSError as error:  # refused, unreachable, out of descriptors, or too slow
             # The time may run out just as the connection comes up: the request is written then, and how it
             # ended is told by the connection.
--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -159,7 +159,9 @@
         if self.call is None or not self.call.usable:
             self._hang_up()
             host, port = split_address(self.address)
-            _, self.call = await asyncio.get_running_loop().create_connection(Call, host, port)
+            local = (self.wire.source_host, 0) if self.wire.source_host else None
+            loop = asyncio.get_running_loop()
+            _, self.call = await loop.create_connection(Call, host, port, local_addr=local)
         path = "/registry/instances"
         if self.rev is not None:
             path += f"?since={self.rev}&timeout_ms={wait}"
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -6,6 +6,7 @@
 import sys
 import traceback
 from collections.abc import Callable
+from dataclasses import replace
 from math import inf
 from typing import NamedTuple
 
@@ -21,6 +22,7 @@
     Outcome,
     Probe,
     ProbeResult,
+    Proxies,
     Refuse,
     Result,
     Send,
@@ -113,7 +115,9 @@
     def __init__(self, settings: Settings, wire: Wire, seed: int, most_connections: int) -> None:
         self.settings, self.seed = settings, seed
         self.balancer = Balancer(settings, seed)
-        self.backends = Backends(wire.connect_timeout_ms, wire.conn_idle_ms, most_connections)
+        self.backends = Backends(
+            wire.connect_timeout_ms, wire.conn_idle_ms, most_connections, wire.source_host
+        )
         self.probe_limit_ms = wire.connect_timeout_ms
         self.discovery: Discovery | None = None
         self.requests: dict[str, Held] = {}
@@ -126,6 +130,9 @@
         self.ended: list[Held] = []  # to be forgotten once the module has been told of their end
         self.turn: asyncio.Handle | None = None
         self.life = 0  # of the module; a new one starts after it broke
+        # What others agreed on, as events that are due: asked before each step, so that the end of a word is
+        # tested when it is used.
+        self.agreed: Callable[[], list[Event]] | None = None
         self.observer: Callable[[Held], None] | None = None  # hears of each request when all of it is over
         self.on_end: Callable[[int, int], None] = lambda cls, status: None  # of each final answer, at once
         self.loop = asyncio.get_running_loop()
@@ -239,6 +246,11 @@
     def _step(self) -> None:
         self.turn = None
         batch: list[Event] = [*self.news, *self.events]
+        if self.agreed is not None and (words := self.agreed()):
+            batch = [*words, *batch]
+            for word in words:
+                if isinstance(word, Proxies):  # a module that takes over after a fault begins there
+                    self.settings = replace(self.settings, proxies=max(word.proxies, 1), me=word.me)
         self.news, self.events = [], []
         ended, self.ended = self.ended, []
         try:
--- a/flintlatch/settings.py
+++ b/flintlatch/settings.py
@@ -106,6 +106,7 @@
     kinds: dict[str, int]
     connect_timeout_ms: float
     conn_idle_ms: float
+    source_host: str = ""  # where connections to backends and discovery come from; empty: the system's choice
 
 
 def numbered(names: list[Any], member: str) -> dict[str, int]:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -302,7 +302,7 @@
         def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
             self.create_task, self.call_later = loop.create_task, loop.call_later
 
-        async def create_connection(self, *_: Any) -> None:
+        async def create_connection(self, *_: Any, **__: Any) -> None:
             raise OSError(errno.EMFILE, "Too many open files")
 
     async def test() -> None:
@@ -464,8 +464,8 @@
             self.create_task, self.call_later = loop.create_task, loop.call_later
             self.connect = loop.create_connection
 
-        async def create_connection(self, *args: Any) -> None:
-            await self.connect(*args)
+        async def create_connection(self, *args: Any, **more: Any) -> None:
+            await self.connect(*args, **more)
             raise TimeoutError
 
     async def test() -> None:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -11,6 +11,7 @@
 
 from flintlatch.api import (
     ListKind,
+    Proxies,
     RequestClass,
     Result,
     ServerInfo,
@@ -683,3 +684,25 @@
     server.strikes, server.failing_from = 3, driver.now - 1500  # rested, and on trial now
     driver.end(driver.arrive(), delay=200.0)
     assert server.strikes == 0 and server.cold(driver.now)
+
+
+def test_when_others_come_its_part_is_smaller_at_once_and_nothing_is_forgotten() -> None:
+    driver = Driver(settings(proxies=2, quotas=(100.0,)), *fleet(10))
+    for _ in range(200):
+        driver.end(driver.arrive(), after=20.0)
+        driver.beat()
+    before = {s.id: (s.limit, s.latency, s.payoff) for s in driver.balancer.servers.values()}
+    driver.step(Proxies(20, 7))
+    for server in driver.balancer.servers.values():
+        limit, latency, payoff = before[server.id]
+        assert server.limit == pytest.approx(limit / 10) and (server.latency, server.payoff) == (
+            latency,
+            payoff,
+        )
+    assert driver.balancer.many and driver.balancer.settings.me == 7
+    driver.step(Proxies(2, 0))
+    for server in driver.balancer.servers.values():
+        assert server.limit == pytest.approx(before[server.id][0])
+    assert not driver.balancer.many
+    requests = [driver.arrive() for _ in range(5)]
+    assert all(request in driver.sends for request in requests)
