--- a/flintlatch/standin/links.py
+++ b/flintlatch/standin/links.py
@@ -42,6 +42,7 @@
     relays: list[Relay] = field(default_factory=list)
     passed: int = 0  # datagrams and parts of streams
     dropped: int = 0
+    resets: dict[tuple[str, str], deque[int]] = field(default_factory=dict)
     random: Random = field(default_factory=Random)
 
     def __post_init__(self) -> None:
@@ -76,8 +77,15 @@
         if both:
             self.set(other, one, Link(cut=True))
 
+    def reset_at(self, one: str | Iterable[str], other: str | Iterable[str], places: Iterable[int]) -> None:
+        """Of each ordered pair the next streams are reset, each once so many bytes went that way."""
+        for a in self.of(one):
+            for b in self.of(other):
+                self.resets[a, b] = deque(places)
+
     def heal(self) -> None:
         self.faults.clear()
+        self.resets.clear()
         self.usual = OPEN
         self._changed()
 
@@ -168,15 +176,19 @@
         self.bytes = 0
         self.timer: asyncio.TimerHandle | None = None
         self.ended = False
+        self.left: int | None = None  # bytes until it is reset
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.links.streams.add(self)
+        if self.other is None:
+            self.source = self.links.at(transport.get_extra_info("peername")[0])
+            self.target = self.relay.name
+        if due := self.links.resets.get((self.source, self.target)):
+            self.left = due.popleft()
         if self.other is not None:  # ours to the place
             self.other.pump()
             return
-        self.source = self.links.at(transport.get_extra_info("peername")[0])
-        self.target = self.relay.name
         self.other = _Way(self.relay, self, self.target, self.source)
         self.relay.loop.create_task(self._connect(self.other))
 
@@ -227,12 +239,26 @@
             else:
                 self.links.passed += 1
                 self.bytes -= len(data)
+                if self.left is not None and len(data) >= self.left:
+                    other.write(data[: self.left])
+                    self._reset()
+                    return
+                if self.left is not None:
+                    self.left -= len(data)
                 other.write(data)
         if self.bytes <= HELD_BYTES and self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
         if self.ended and not self.held:
             self.links.streams.discard(self)
 
+    def _reset(self) -> None:
+        """Both ends, once what was written before is out."""
+        for way in (self, self.other):
+            if way is not None and way.transport is not None:
+                way.ended = True
+                self.links.streams.discard(way)
+                self.relay.loop.call_later(0.01, way.transport.abort)
+
     def eof_received(self) -> bool:
         return False
 
