Limits that hold for all fleets: grants that end, from a keeper seated by a majority

Change: flintlatch/limits/: what is out at a holder is the largest grant since the one that it answered, until that is over; a new keeper's grants are carried (nobody's part grows) until all before it is over; strict limits have one keeper, seated by votes that are words with an end; open ones a keeper for each side of a cut, together within cut_factor. The module refuses what is beyond its part (event Part), with the time until the next whole one. fleet/limiting.py is the shell; [[limit]], [keepers], flintlatch limits. Found by tests: a member that was alone at its start stayed its own keeper of open limits for good, since it asked whom it followed; a holder without a grant kept its instances at the fixed part where the limit is open.

--- a/flintlatch/api.py
+++ b/flintlatch/api.py
@@ -218,6 +218,16 @@
     me: int
 
 
+class Part(NamedTuple):
+    """This instance's part of a limit on requests taken, from now on. Beyond it they are refused."""
+
+    limit: str  # its name
+    cls: int  # of that class alone; -1: of any
+    tenant: int  # likewise
+    per_s: float
+    burst: float  # that may come at once
+
+
 class ProbeResult(NamedTuple):
     server: str
     result: Result
@@ -230,7 +240,7 @@
 
 Event = (
     Arrival | Outcome | StreamStarted | BodyCame | BodySent | BodyGone | ClientGone | ServerList
-    | ServiceMoved | Proxies | ProbeResult | TimerFired
+    | ServiceMoved | Proxies | Part | ProbeResult | TimerFired
 )  # fmt: skip
 
 # Actions
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -19,7 +19,7 @@
 
 from flintlatch.api import (
     NEVER_RAN, Action, Arrival, BodyCame, BodyGone, BodySent, Cancel, ClientGone, Effect, Event, Fail, Limit,
-    ListKind, Log, Outcome, Proxies, Refuse, RequestClass, Result, Scope, Send, ServerInfo, ServerList,
+    ListKind, Log, Outcome, Part, Proxies, Refuse, RequestClass, Result, Scope, Send, ServerInfo, ServerList,
     ServerState, ServiceMoved, SetTimer, Settings, StreamStarted, TimerFired, Watch,
 )  # fmt: skip
 
@@ -161,6 +161,25 @@
         self.limit = min(self.limit, max(least / self.proxies, self.limit * factor))
 
 
+class Bucket:
+    """This proxy's part of a limit on requests taken. What it was lent before is not kept beyond the new
+    burst."""
+
+    def __init__(self, part: Part, now: float) -> None:
+        self.part, self.tokens, self.at, self.asked = part, 0.0, now, 0
+
+    def refill(self, now: float) -> float:
+        # At least one, or none would ever be whole: the stated bound has one for each instance.
+        most = max(self.part.burst, 1.0 if self.part.per_s else 0.0)
+        self.tokens = min(most, self.tokens + (now - self.at) * self.part.per_s / 1000)
+        self.at = now
+        return self.tokens
+
+    def lack_ms(self) -> float:
+        """Until the next whole one."""
+        return max(0.0, 1 - self.tokens) * 1000 / self.part.per_s if self.part.per_s else inf
+
+
 class Attempt:
     """While open it is at work, or a transfer: of its request before that, of its answer after it."""
 
@@ -297,6 +316,7 @@
         self.comes: dict[Server, float] = {}  # by cold server, the part of first tries that would come to it
         self.heads, self.heads_rate = 0, 0.0  # first tries let in, in this second and usually
         self.order, self.retries = 0, RETRY_BURST
+        self.buckets: dict[str, Bucket] = {}  # by limit, our parts of those that all fleets share
         self.turned_away = RETRY_BURST  # repeats still to be expected
         self.beating, self.second_at, self.beat_at = False, 0.0, 0.0
         self.ask_at: float | None = None
@@ -322,6 +342,8 @@
                 self.on_moved(now)
             elif isinstance(event, Proxies):
                 self.on_proxies(now, event)
+            elif isinstance(event, Part):
+                self.on_part(now, event)
             elif isinstance(event, StreamStarted):
                 self.on_stream(now, event)
             elif isinstance(event, BodySent):
@@ -378,6 +400,9 @@
             self.met_all += 1
         request = Request(event, spec, endpoint, now, now - waited, self.rng.random() if self.many else 0.0)
         self.requests[event.request] = request
+        if self.buckets and (lack := self.over_limits(now, event)):
+            self.refuse(request, lack)
+            return
         if level >= 3:
             excess = endpoint.excess(now)
             if self.sparse:  # its buffer is mostly empty, and few waits are seen: the wait to come counts
@@ -401,6 +426,30 @@
             if not (self.many and self.to_cold(now, request)):
                 self.hold(request, False)
 
+    def on_part(self, now: float, event: Part) -> None:
+        bucket = self.buckets.setdefault(event.limit, Bucket(event, now))
+        bucket.refill(now)
+        bucket.part = event
+        bucket.refill(now)
+
+    def over_limits(self, now: float, event: Arrival) -> float:
+        """Take one of each limit that holds for it; ms until all have one again, and none is taken, if
+        not."""
+        under = [
+            bucket
+            for bucket in self.buckets.values()
+            if bucket.part.cls in (-1, event.cls) and bucket.part.tenant in (-1, event.tenant)
+        ]
+        lack = 0.0
+        for bucket in under:
+            bucket.asked += 1
+            if bucket.refill(now) < 1:
+                lack = max(lack, bucket.lack_ms())
+        if not lack:
+            for bucket in under:
+                bucket.tokens -= 1
+        return lack
+
     def may_transfer(self, request: Request) -> bool:
         settings = self.settings
         if self.transfers >= settings.all_transfers:
@@ -659,9 +708,10 @@
         self.out.append(Fail(request.id))
         self.close(request)
 
-    def refuse(self, request: Request) -> None:
-        """Low levels are let in again over the endpoint's release: that is when to come back."""
-        wait = min(request.endpoint.release * request.endpoint.aim, self.settings.max_retry_after_ms)
+    def refuse(self, request: Request, lack: float = 0.0) -> None:
+        """Low levels are let in again over the endpoint's release, what a limit turns away once that has room
+        (`lack`): that is when to come back."""
+        wait = min(lack or request.endpoint.release * request.endpoint.aim, self.settings.max_retry_after_ms)
         self.turned_away = min(self.turned_away + AWAY_EACH, AWAY_MOST)
         self.out.append(Refuse(request.id, wait if self.settings.retry_after else 0.0))
         self.close(request)
--- a/flintlatch/cli.py
+++ b/flintlatch/cli.py
@@ -67,6 +67,8 @@
     peers.add_argument(
         "--for", dest="for_s", type=float, default=600.0, metavar="SECONDS", help="(default: %(default)s)"
     )
+    limits = running("limits", "show the limits of all fleets: keepers, parts, and the most under any cut")
+    limits.add_argument("--json", action="store_true", help="print the answer of the control socket as it is")
     demo = command("demo", "run stand-in nodes and a fleet on loopback, through a reload and a node's death")
     demo.add_argument("--seed", type=int, default=1, help="of the traffic (default: %(default)s)")
     demo.add_argument("--seconds", type=float, default=12.0, help="of traffic (default: %(default)s)")
@@ -253,6 +255,26 @@
         print(f"note of {note['by']} ({note['subject']}), {note['left_s']:.0f} s left: {note['text']}")
 
 
+def limits(args: argparse.Namespace) -> int:
+    answer = ask(args, {"do": "limits"})
+    if answer is None or not answer["ok"]:
+        if answer is not None:
+            print(f"limits: {answer['reason']}", file=sys.stderr)
+        return 1
+    if args.json:
+        print(json.dumps(answer, indent=2))
+        return 0
+    row = "{:<20} {:<10} {:<10} {:>9} {:>7} {:<7} {:<16} {:>9} {:>9} {:>9} {:>10} {:>10}"
+    names = ("limit", "tenant", "class", "per s", "burst", "cut", "keeper", "asked", "lent", "granted")
+    print(row.format(*names, "most whole", "most cut"))
+    keys = ("limit", "tenant", "class", "per_s", "burst", "when_cut", "keeper", "asked_here", "lent_here",
+            "granted", "most_without_cuts", "most_in_a_second")  # fmt: skip
+    for one in answer["limits"]:
+        print(row.format(*("-" if one[key] in (None, "") else one[key] for key in keys)))
+    print("most: requests that all fleets together take in any second, with no link cut and under any cut")
+    return 0
+
+
 def check_nodes(args: argparse.Namespace) -> int:
     from flintlatch.membership import Unreadable
     from flintlatch.membership.files import read
@@ -308,6 +330,8 @@
         return nodes(args)
     if args.command == "peers":
         return peers(args)
+    if args.command == "limits":
+        return limits(args)
     if args.command in ("reload", "upgrade", "stop"):
         return command_running(args.command, args)
     if args.command == "demo":
--- a/flintlatch/config/__init__.py
+++ b/flintlatch/config/__init__.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
-from flintlatch.api import Settings
+from flintlatch.api import Part, Settings
 from flintlatch.config.reader import Problem, Reader, Unusable
 from flintlatch.config.tables import (
     CONTROL,
@@ -29,6 +29,8 @@
     read_drain,
     read_fleet,
     read_http,
+    read_keepers,
+    read_limit,
     read_limits,
     read_nodes,
     read_peers,
@@ -36,6 +38,7 @@
     read_tenant,
     unique,
 )
+from flintlatch.limits.rows import MOST_LIMITS, Limit, Terms, WhenCut
 from flintlatch.settings import Wire
 
 __all__ = ["Config", "Problem", "Unusable", "beside", "find_control", "load", "parse", "read_file"]
@@ -60,6 +63,8 @@
     http: HttpTable | None  # None: the platform's protocol
     access_log: AccessLogTable | None
     peers: PeersTable | None  # None: this fleet knows of no other
+    shared: tuple[Limit, ...]  # limits of all fleets together
+    terms: Terms
 
     @property
     def control_path(self) -> str:
@@ -88,6 +93,18 @@
             fall_ms=nodes.fall_ms,
         )
 
+    def parts_alone(self) -> tuple[Part, ...]:
+        """Of each shared limit what one instance may use while nobody says anything."""
+        classes = [row.name for row in self.classes]
+        tenants = [row.name for row in self.tenants]
+        parts = []
+        for row in self.shared:
+            part = row.alone(self.terms) / self.fleet.instances
+            cls = classes.index(row.cls) if row.cls else -1
+            tenant = tenants.index(row.tenant) if row.tenant else -1
+            parts.append(Part(row.name, cls, tenant, part, row.burst * part / row.per_s))
+        return tuple(parts)
+
     def wire(self) -> Wire:
         """The names on the sockets; new ones among the nodes get the next numbers."""
         return Wire(
@@ -157,7 +174,18 @@
         http=None,
         access_log=read_access_log(top.sub("access_log")) if "access_log" in raw else None,
         peers=None,
+        shared=(),
+        terms=read_keepers(top.sub("keepers")),
     )
+    tenants, classes = (tuple(row.name for row in rows) for rows in (config.tenants, config.classes))
+    shared = tuple(read_limit(row, tenants, classes) for row in top.subs("limit"))
+    config = replace(config, shared=shared)
+    if len(shared) > MOST_LIMITS:
+        top.problem("limit", f"{len(shared)} rows", f"at most {MOST_LIMITS}")
+    if shared and "peers" not in raw:
+        top.problem("limit", f"{len(shared)} rows", "a [peers] table: they hold for several fleets")
+    if any(row.when_cut is WhenCut.STRICT for row in shared) and not config.terms.voters:
+        top.problem("keepers.voters", "", 'the fleets that vote, where a limit is "strict"')
     if "peers" in raw:
         config = replace(config, peers=read_peers(top.sub("peers"), config.fleet.name))
     if "http" in raw:
@@ -165,6 +193,7 @@
         config = replace(config, http=read_http(top.sub("http"), names))
     unique(top, "class.name", [row.name for row in config.classes])
     unique(top, "tenant.name", [row.name for row in config.tenants])
+    unique(top, "limit.name", [row.name for row in config.shared])
     top.done()
     if config.classes and not any(row.spec.worth > 0 for row in config.classes):
         top.problem("class.worth", "0 in every class", "a class that is worth something")
--- a/flintlatch/config/tables.py
+++ b/flintlatch/config/tables.py
@@ -8,6 +8,7 @@
 
 from flintlatch.api import Effect, RequestClass, Scope
 from flintlatch.config.reader import Reader, address, shown
+from flintlatch.limits.rows import MOST_HOLDERS, Limit, Terms, WhenCut
 
 MOST_INSTANCES = 256  # processes on one machine: far beyond its cores, and far below its process table
 CONTROL_PATH_MOST = 100  # bytes: a Unix socket's path holds 108, less the suffix it is first made under
@@ -478,6 +479,37 @@
     return table
 
 
+def read_limit(reader: Reader, tenants: tuple[str, ...], classes: tuple[str, ...]) -> Limit:
+    limit = Limit(
+        name=reader.name("name"),
+        tenant=reader.choice("tenant", ("", *tenants), ""),
+        cls=reader.choice("class", ("", *classes), ""),
+        per_s=reader.number("per_s", 0.01, 1e9),
+        burst=reader.number("burst", 0, 1e9, 0),
+        when_cut=WhenCut(reader.choice("when_cut", ("strict", "open"))),
+        reserve=reader.number("reserve", 0, 1, 0.02),
+    )
+    reader.done()
+    return limit
+
+
+def read_keepers(reader: Reader) -> Terms:
+    voters = reader.items("voters", 'names of fleets such as ["a", "b", "c"]')
+    for place, name in enumerate(voters):
+        if not isinstance(name, str) or not name or voters.count(name) > 1:
+            reader.problem(f"voters[{place}]", shown(name), "the name of a fleet, each once")
+    terms = Terms(
+        voters=tuple(name for name in voters if isinstance(name, str)),
+        fleets=reader.whole("fleets", 1, MOST_HOLDERS, max(len(voters), 1)),
+        term_s=reader.number("term_s", 0.2, 60, 2),
+        cut_factor=reader.number("cut_factor", 1, 100, 2),
+    )
+    if len(terms.voters) > terms.fleets:
+        reader.problem("fleets", str(terms.fleets), f"at least the {len(terms.voters)} voters")
+    reader.done()
+    return terms
+
+
 def read_transfer(reader: Reader) -> TransferRow:
     def number(key: str, least: float, most: float) -> float | None:
         return reader.number(key, least, most, 0.0) if key in reader.table else None
--- a/flintlatch/fleet/agreed.py
+++ b/flintlatch/fleet/agreed.py
@@ -11,6 +11,8 @@
 from flintlatch.config import Config, beside
 from flintlatch.config.tables import PeersTable
 from flintlatch.fleet.channel import Message
+from flintlatch.fleet.limiting import Limiting
+from flintlatch.limits.api import topics
 from flintlatch.peers import Census, Merge, Place, Rules, Sight, State, Topic, View, Word
 from flintlatch.peers.clock import clock
 from flintlatch.peers.seal import BadKeys, read_keys
@@ -31,6 +33,7 @@
         config: Config,
         table: PeersTable,
         tell: Callable[[Message], None],
+        tell_one: Callable[[int, Message], None],
         log: Callable[[str, str], None],
     ) -> None:
         self.config, self.table, self.tell, self.log = config, table, tell, log
@@ -42,15 +45,23 @@
         self.timer: asyncio.TimerHandle | None = None
         self.opening: asyncio.Task[None] | None = None
         self.ended = False
+        self.limiting: Limiting | None = None
+        if config.shared:
+            self.limiting = Limiting(config.shared, config.terms, lambda: self.shell, tell_one, log)
 
     def start(self) -> None:
         self.opening = self.loop.create_task(self._open())
         self._beat()
+        if self.limiting is not None:
+            self.limiting.start()
+
+    def topics(self) -> tuple[Topic, ...]:
+        return (NOTES, *(topics(self.config.terms.term_s) if self.limiting is not None else ()))
 
     async def _open(self) -> None:
         while not self.ended:
             try:
-                shell = Shell(self._options(), (NOTES,), self._on_view, self._on_news, self._on_told)
+                shell = Shell(self._options(), self.topics(), self._on_view, self._on_news, self._on_told)
                 await shell.open()
             except (NotBound, BadKeys, OSError) as error:
                 self._complain(str(error))
@@ -106,6 +117,10 @@
             self.log("warning", "peers: a new name or address takes a restart or an upgrade")
         self.config, self.table = config, table
         self.census.own = config.fleet.instances
+        if self.limiting is not None:
+            self.limiting.reconfigure(config.shared, config.terms)
+        elif config.shared:
+            self.log("warning", "limit: the first ones take a restart or an upgrade")
         if self.shell is not None:
             try:
                 self.shell.change_keys(self._keys())
@@ -119,6 +134,8 @@
             self.timer.cancel()
         if self.opening is not None:
             self.opening.cancel()
+        if self.limiting is not None:
+            self.limiting.close()
         if self.shell is not None:
             self.shell.close()
 
@@ -142,6 +159,8 @@
         self._say()
 
     def _on_news(self, words: tuple[Word, ...]) -> None:
+        if self.limiting is not None:
+            self.limiting.on_news()
         for word in words:
             if word.topic == NOTES.name and word.value:
                 text = word.value.decode("utf-8", "replace")
--- a/flintlatch/fleet/heard.py
+++ b/flintlatch/fleet/heard.py
@@ -1,26 +1,39 @@
 """What an instance was told that the fleets agree on: words with an end, as events to the decision module.
 
 The end is a moment of the machine's clock, set by the supervisor no later than its saying, and is tested
-before each step of the module. Past it the instance is where it would be alone, and says so once.
+before each step of the module. Past it the instance is where it would be alone, and says so once. A module
+that took over after a fault is told all of it anew, before its first request.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from math import inf
 from typing import Any
 
-from flintlatch.api import Event, Proxies
+from flintlatch.api import Event, Part, Proxies
 
 
 class Heard:
     def __init__(
-        self, number: int, alone: Proxies, clock: Callable[[], float], log: Callable[[str], None]
+        self,
+        number: int,
+        alone: Proxies,
+        limits: Iterable[Part],
+        clock: Callable[[], float],
+        log: Callable[[str], None],
     ) -> None:
-        """`number`: of this instance in its fleet. `alone`: what holds with no word."""
+        """`number`: of this instance in its fleet. `alone`, `limits`: what holds with no word."""
         self.number, self.alone, self.clock, self.log = number, alone, clock, log
         self.place, self.until = alone, 0.0
         self.used = alone
         self.lone = True
+        self.life = -1  # of the module that was told
+        self.fixed = {part.limit: part for part in limits}
+        self.lent: dict[str, tuple[Part, float, list[int]]] = {}  # what, until, which grant
+        self.told: dict[str, Part] = {}
+        self.follows: dict[str, list[int]] = {}  # grants that the module goes by, by limit
+        self.next_end, self.news = 0.0, True
 
     def on_word(self, word: dict[str, Any]) -> None:
         """Raises KeyError, TypeError or ValueError for what is no word. One about something else is left."""
@@ -28,14 +41,41 @@
             proxies, first = map(int, word["value"])
             self.place = Proxies(max(proxies, 1), max(first, 0) + self.number)
             self.until = float(word["until"])
+        elif word["about"] == "limit" and word["limit"] in self.fixed:
+            per_s, burst, *mark = word["value"]
+            alone = self.fixed[word["limit"]]
+            part = alone._replace(per_s=float(per_s), burst=float(burst))
+            self.lent[part.limit] = part, float(word["until"]), [int(one) for one in mark]
+            self.news = True
 
-    def due(self) -> list[Event]:
-        lone = self.clock() >= self.until
+    def due(self, life: int) -> list[Event]:
+        now = self.clock()
+        if life != self.life:
+            self.life, self.told, self.news = life, {}, True
+        events: list[Event] = []
+        if self.news or now >= self.next_end:
+            events += self._parts(now)
+        lone = now >= self.until
         wanted = self.alone if lone else self.place
         if lone and not self.lone:
             self.log(f"the word on other fleets has ended: counting {wanted.proxies} proxies, as configured")
         self.lone = lone
-        if wanted == self.used:
-            return []
-        self.used = wanted
-        return [wanted]
+        if wanted != self.used:
+            self.used = wanted
+            events.append(wanted)
+        return events
+
+    def _parts(self, now: float) -> list[Event]:
+        self.news, self.next_end = False, inf
+        changed: list[Event] = []
+        for name, alone in self.fixed.items():
+            part, until, mark = self.lent.get(name, (alone, 0.0, []))
+            if now >= until:
+                part, mark = alone, []
+            else:
+                self.next_end = min(self.next_end, until)
+            if part != self.told.get(name):
+                self.told[name] = part
+                changed.append(part)
+            self.follows[name] = mark
+        return changed
--- a/flintlatch/fleet/supervisor.py
+++ b/flintlatch/fleet/supervisor.py
@@ -248,7 +248,7 @@
         except ImportError as error:
             self.log("error", f"peers: {error.name} is not installed: pip install flintlatch[peers]")
             return
-        self.agreed = Agreed(config, config.peers, self._tell_all, self.log)
+        self.agreed = Agreed(config, config.peers, self._tell_all, self._tell_one, self.log)
         self.agreed.start()
 
     def _tell_all(self, message: Message) -> None:
@@ -256,6 +256,10 @@
             if process.channel is not None:  # one that starts is told what holds then
                 process.channel.say(message)
 
+    def _tell_one(self, worker: int, message: Message) -> None:
+        if (process := self.processes.get(worker)) is not None and process.channel is not None:
+            process.channel.say(message)
+
     def now(self) -> Any:
         """For the page's thread: whole values, read once each."""
         from flintlatch.metrics.page import Now
@@ -423,6 +427,8 @@
         self.spread.leave(action.worker)
         self.totals.ended(action.worker)
         del self.processes[action.worker]
+        if self.agreed is not None and self.agreed.limiting is not None:
+            self.agreed.limiting.gone(action.worker)
         self._step(core.WorkerExited(action.worker, how))
 
     async def _worker_life(self, action: core.Spawn, process: Process) -> str:
@@ -493,6 +499,9 @@
                 if message.get("counts") is not None:
                     self.totals.heard(worker, message["counts"])
             self._step(core.WorkerBeat(worker, float(message.get("rss_mb", 0))))
+        elif kind == "limits":
+            if self.agreed is not None and self.agreed.limiting is not None and worker in self.processes:
+                self.agreed.limiting.on_instance(worker, message)
         elif kind == "failed":
             self._step(core.WorkerFailed(worker, str(message.get("reason"))))
 
@@ -646,7 +655,12 @@
             return self._on_nodes(request)
         if command in ("peers", "note"):
             return self._on_peers(request)
-        expected = "status, reload, upgrade, stop, nodes, confirm, peers, note"
+        if command == "limits":
+            limiting = self.agreed.limiting if self.agreed is not None else None
+            if limiting is None:
+                return {"ok": False, "reason": "no [[limit]] with [peers] here"}
+            return {"ok": True, "limits": limiting.report()}
+        expected = "status, reload, upgrade, stop, nodes, confirm, peers, note, limits"
         return {"ok": False, "reason": f"expected 'do' to be one of {expected}"}
 
     def _on_peers(self, request: Message) -> Message:
--- a/flintlatch/fleet/worker.py
+++ b/flintlatch/fleet/worker.py
@@ -36,6 +36,7 @@
     from flintlatch.fleet.observe import Observer
 
 BEATS = 5  # signs of life within the watchdog's time: one that comes late must not count as silence
+LIMITS_S = 0.1  # s between two words on what limits were asked for
 MOST_UNREAD = 16 * 1024  # bytes that wait for a supervisor which does not read
 LAST_WORDS_S = 0.3  # s for the answers written at the limit to leave
 LAST_RECORDS_S = 1.0  # s that the access log may take for what waits
@@ -79,6 +80,10 @@
                 self.take_list(message["list"])
             elif kind == "word" and self.heard is not None:
                 self.heard.on_word(message)
+                if message["about"] == "limit" and self.engine is not None:
+                    # The module goes by it from its next step on, and only then is it said to be followed.
+                    self.engine.wake()
+                    self.loop.call_soon(self.say_followed)
             elif kind == "accept":
                 self.accept()
             elif kind == "drain":
@@ -153,10 +158,13 @@
             from flintlatch.fleet.heard import Heard  # only where it is wanted
             from flintlatch.peers.clock import clock
 
-            self.heard = Heard(number, Proxies(settings.proxies, settings.me), clock, log)
+            place = Proxies(settings.proxies, settings.me)
+            self.heard = Heard(number, place, self.config.parts_alone(), clock, log)
             for word in message.get("words", ()):
                 self.heard.on_word(word)
             self.engine.agreed = self.heard.due
+            if self.config.shared:
+                self.say_limits()
         if message.get("spread") is not None and self.config.fleet.instances > 1:
             self.spread = Spread(message["spread"], int(message["worker"]))
             self.frontend.tell_held, self.frontend.should_rest = self.spread.tell, self.spread.should_rest
@@ -243,6 +251,18 @@
             }
         )
 
+    def say_limits(self) -> None:
+        self.loop.call_later(LIMITS_S, self.say_limits)
+        self.say_followed()
+
+    def say_followed(self) -> None:
+        """What was asked for so far by limit, and the grants that the module goes by."""
+        engine, heard = self.engine, self.heard
+        if engine is None or heard is None or self.channel.unread() > MOST_UNREAD:
+            return
+        asked = {name: bucket.asked for name, bucket in engine.balancer.buckets.items()}
+        self.channel.say({"kind": "limits", "asked": asked, "follows": heard.follows})
+
     def _access_log(self) -> dict[str, Any] | None:
         if self.observer is None or self.observer.log is None:
             return None
--- a/flintlatch/lab/explore.py
+++ b/flintlatch/lab/explore.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass
+from random import Random
 from typing import Generic, TypeVar
 
 World = TypeVar("World")
@@ -81,3 +82,28 @@
             return Explored(len(seen), events, done, True)
         layer = following
     return Explored(len(seen), events, depth, False)
+
+
+def wander(
+    start: World,
+    steps: Callable[[World], Iterable[tuple[str, World]]],
+    check: Callable[[World], str],
+    seed: int,
+    walks: int,
+    length: int,
+    weight: Callable[[str], float] = lambda label: 1.0,
+) -> int:
+    """Walks by chance, deeper than every order can be played; the events played. Raises Broken."""
+    rng, events = Random(seed), 0
+    for _ in range(walks):
+        world, trace = start, list[str]()
+        for _ in range(length):
+            choices = list(steps(world))
+            if not choices:
+                break
+            label, world = rng.choices(choices, [weight(label) for label, _ in choices])[0]
+            trace.append(label)
+            events += 1
+            if what := check(world):
+                raise Broken(what, tuple(trace))
+    return events
--- /dev/null
+++ b/flintlatch/limits/api.py
@@ -0,0 +1,32 @@
+"""What others may call of limits.
+
+A keeper deals out each limit in grants that end; holders (fleets) pass parts on to their instances.
+docs/design/ limits.md has the options, the bounds and their proofs.
+"""
+
+from flintlatch.limits.holder import Holder, Part
+from flintlatch.limits.keeper import Keeper
+from flintlatch.limits.model import Ask, Grant, Malformed, Mark, Vote, most, over_s, topics
+from flintlatch.limits.rows import Limit, Terms, WhenCut
+from flintlatch.limits.seat import Seat
+from flintlatch.limits.split import Split, fair
+
+__all__ = [
+    "Ask",
+    "Grant",
+    "Holder",
+    "Keeper",
+    "Limit",
+    "Malformed",
+    "Mark",
+    "Part",
+    "Seat",
+    "Split",
+    "Terms",
+    "Vote",
+    "WhenCut",
+    "fair",
+    "most",
+    "over_s",
+    "topics",
+]
--- /dev/null
+++ b/flintlatch/limits/holder.py
@@ -0,0 +1,100 @@
+"""A holder's decisions on one limit: which grant it follows, and what its instances get of it. No I/O, no
+clock.
+
+It never goes back to a grant before the one that it has followed. It says that it follows one only when none
+of its instances can use more any longer: each has said that it follows what it was told, or that is over.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from flintlatch.limits.model import NO_MARK, Ask, Grant, Mark
+from flintlatch.limits.rows import Limit, Terms, WhenCut
+from flintlatch.limits.split import EPS, Split
+
+NEED_PART = 0.5  # of a new measure in the smoothed need, as it falls; as it rises it counts at once
+AHEAD = 1.15  # of what is asked for now: what may come until the next word
+FLOOR_PART = 0.02  # of the limit that idle holders ask for together: their next request should not wait long
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """What one instance may use: a second, at once, and until when (the holder's clock)."""
+
+    per_s: float
+    burst: float
+    mark: Mark
+    until: float
+
+
+class Holder:
+    def __init__(self, limit: Limit, terms: Terms, fixed: float = 0.0, fixed_from: float = 0.0) -> None:
+        """`fixed`: what is ours for good, from `fixed_from` on: instances of a process before us may hold it
+        until then."""
+        self.limit, self.terms, self.fixed, self.fixed_from = limit, terms, fixed, fixed_from
+        self.mark = NO_MARK
+        self.keeper = ""
+        self.amount = 0.0
+        self.ends = 0.0
+        self.split = Split()  # over our instances
+        self.place = 0
+        self.need = 0.0
+
+    def hear(self, now: float, keeper: str, grant: Grant, ends: float) -> None:
+        """A grant that holds until `ends`. An older one than that we follow is none, while that holds."""
+        if grant.mark > self.mark or now >= self.ends:
+            amount = min(grant.amount, self.lent(now)) if grant.carried else grant.amount
+            self.mark, self.keeper, self.amount, self.ends = grant.mark, keeper, amount, ends
+        elif grant.mark == self.mark and keeper == self.keeper:
+            self.ends = max(self.ends, ends)
+
+    def lent(self, now: float) -> float:
+        return self.amount if now < self.ends else 0.0
+
+    def own(self, now: float) -> float:
+        return self.fixed if now >= self.fixed_from else 0.0
+
+    def measure(self, asked_per_s: float) -> None:
+        """What came in the last moments, refused ones included."""
+        if asked_per_s >= self.need:
+            self.need = asked_per_s
+        else:
+            self.need += (asked_per_s - self.need) * NEED_PART
+
+    def ask(self, now: float, keeper: str) -> Ask:
+        """What to say. `keeper`: whom we hold for it. A strict limit's is asked for as long as its grant
+        holds."""
+        out = self.split.out(now)
+        came_down = out <= self.lent(now) + self.own(now) + EPS
+        need = self.need * AHEAD + FLOOR_PART * self.limit.lent() / self.terms.fleets
+        held = now < self.ends
+        mark = self.mark if came_down and held else NO_MARK
+        used = max(out - self.own(now), self.lent(now))
+        stays = held and self.limit.when_cut is WhenCut.STRICT
+        asked = self.keeper if stays else keeper
+        return Ask(need, asked, self.keeper if held else "", mark, used, self.limit.per_s)
+
+    def parts(
+        self, now: float, follows: Mapping[str, Mark], needs: Mapping[str, float], term_s: float, due: bool
+    ) -> dict[str, Part]:
+        """What to tell our instances now. `follows`: what each says it follows. None outlasts the grant."""
+        for name, mark in follows.items():
+            self.split.ack(name, mark)
+        lent = self.lent(now) + self.own(now)
+        if self.limit.when_cut is WhenCut.OPEN and now >= self.ends:
+            lent = max(lent, self.limit.alone(self.terms))  # nobody grants: as a part with nobody else
+        told = self.split.deal(now, lent, needs)
+        until = min(self.ends, now + term_s) if self.lent(now) else now + term_s
+        if not lent:
+            return {}
+        parts = {}
+        for name, amount in sorted(told.items()):
+            if not due and self.split.slight(now, name, amount, lent):
+                continue
+            self.place += 1
+            mark = Mark(1, self.place)
+            self.split.give(name, mark, amount, until)
+            parts[name] = Part(amount, self.limit.burst * amount / self.limit.per_s, mark, until)
+        return parts
--- /dev/null
+++ b/flintlatch/limits/keeper.py
@@ -0,0 +1,67 @@
+"""A keeper's decisions on one limit: whom to grant what, now and after another keeper. No I/O, no clock.
+
+A new keeper does not know what the one before has out. Until all of that is over its grants are *carried*: of
+each a holder uses no more than it may use already, so nobody's part grows. Then it deals out the whole.
+
+Of an open limit each side of a cut has a keeper of its own. It deals out the limit times `cut_factor` times
+the part of all configured instances that name it as their keeper, and never more than the limit. A holder
+names one keeper at a time, so over all sides together it is at most `cut_factor` times the limit, whatever it
+is cut into.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from flintlatch.limits.model import Ask, Grant, Mark, over_s
+from flintlatch.limits.rows import Limit, Terms, WhenCut
+from flintlatch.limits.split import Split
+
+
+class Keeper:
+    def __init__(self, limit: Limit, terms: Terms) -> None:
+        self.limit, self.terms = limit, terms
+        self.split = Split()
+        self.number = 0
+        self.place = 0
+
+    def capacity(self, following: int, configured: int, asks: Iterable[Ask] = ()) -> float:
+        """Of all instances that are configured so many name us as their keeper. Where rows contradict each
+        other the lowest holds: while a reload goes round, and for good if somebody forgot one."""
+        lowest = min([self.limit.per_s, *(ask.per_s for ask in asks if ask.per_s)])
+        lent = self.limit.lent() * lowest / self.limit.per_s
+        if self.limit.when_cut is WhenCut.STRICT:
+            return lent
+        return lent * min(1.0, self.terms.cut_factor * following / max(configured, following, 1))
+
+    def step(
+        self,
+        now: float,
+        me: str,
+        number: int,
+        settled: bool,
+        capacity: float,
+        asks: Mapping[str, Ask],
+        due: bool,
+    ) -> dict[str, Grant]:
+        """Grants to say now, each for a term, by holder. `due`: what was said must be said anew. `number`:
+        under which we keep; a new one means that we have begun anew."""
+        if number != self.number:
+            self.number, self.place, self.split = number, 0, Split()
+        for holder, ask in asks.items():
+            if ask.of == me and ask.mark.number == number:
+                self.split.ack(holder, ask.mark)
+        needs = {name: ask.need for name, ask in asks.items()}
+        if not settled:
+            needs = {name: ask.used for name, ask in asks.items()}
+        told = self.split.deal(now, capacity, needs, spread=settled)
+        over = now + over_s(self.terms)
+        grants = {}
+        for holder, amount in sorted(told.items()):
+            if not due and self.split.slight(now, holder, amount, capacity):
+                continue
+            self.place += 1
+            mark = Mark(number, self.place)
+            self.split.give(holder, mark, amount, over)
+            grants[holder] = Grant(amount, mark, not settled)
+        return grants
--- /dev/null
+++ b/flintlatch/limits/model.py
@@ -0,0 +1,137 @@
+"""What is limited, and what members tell each other of it. No I/O, no clock. Times are seconds.
+
+Words of three topics, all EACH (one from each member, the later by its epoch):
+
+    vote   subject "seat"            whom I hold for the keeper of the strict limits, with a number
+    ask    subject LIMIT             what I need, and the grant that all of mine have come down to
+    grant  subject HOLDER LIMIT      what you may use, said by a keeper
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+
+from flintlatch.limits.rows import MOST_HOLDERS, MOST_LIMITS, Limit, Terms, WhenCut
+from flintlatch.peers import Merge, Topic
+from flintlatch.peers.words import DRIFT
+
+GRANTS_MOST = MOST_LIMITS * MOST_HOLDERS  # words of one keeper
+
+
+def over_s(terms: Terms) -> float:
+    """When nobody believes a word of a term any more, counted on any clock since it was said."""
+    return terms.term_s * (1 + DRIFT) / (1 - DRIFT) + 0.01 * terms.term_s
+
+
+def most(limit: Limit, terms: Terms, window_s: float, instances: int, cut: bool = True) -> float:
+    """The stated bound: requests taken by all fleets in any window. A rate's clock may be fast by DRIFT; each
+    instance may hold one whole request beyond its part of the burst."""
+    factor = terms.cut_factor if cut and limit.when_cut is WhenCut.OPEN else 1.0
+    return factor * (limit.per_s * window_s * (1 + DRIFT) + limit.burst) + instances
+
+
+def topics(term_s: float) -> tuple[Topic, Topic, Topic]:
+    return (
+        Topic("vote", Merge.EACH, term_s, each=1, most=1024),
+        Topic("ask", Merge.EACH, term_s, each=MOST_LIMITS, most=MOST_LIMITS * MOST_HOLDERS, weight=2.0),
+        Topic("grant", Merge.EACH, term_s, each=GRANTS_MOST, most=4 * GRANTS_MOST, weight=4.0),
+    )
+
+
+class Mark(NamedTuple):
+    """Which grant: the keeper's number (higher with each keeper) and, of its own, the place."""
+
+    number: int
+    place: int
+
+
+NO_MARK = Mark(0, 0)
+
+
+class Vote(NamedTuple):
+    keeper: str
+    number: int
+
+
+class Ask(NamedTuple):
+    need: float  # a second
+    keeper: str  # who is asked: one at a time
+    of: str  # whose grant is followed
+    mark: Mark  # of that grant; all that was larger before it is out of use
+    used: float  # a second: the most that may still be in use by anybody's grant
+    per_s: float = 0.0  # the whole limit, as the holder's configuration has it
+    life: int = 0  # of the process: what one before it left in use is a holder of its own
+
+
+class Grant(NamedTuple):
+    amount: float  # a second
+    mark: Mark
+    carried: bool  # by a new keeper: no more of it than the holder may use already
+
+
+def holder(name: str, life: int) -> str:
+    """A holder: one process of one fleet."""
+    return f"{name}/{life:x}"
+
+
+class Malformed(Exception):
+    """Bytes that say nothing of the kind."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_vote = msgspec.msgpack.Decoder(tuple[str, int])
+_ask = msgspec.msgpack.Decoder(tuple[float, str, str, int, int, float, float, int])
+_grant = msgspec.msgpack.Decoder(tuple[float, int, int, bool])
+MOST_NUMBER = 2**48  # a number at or beyond it is none: no keeper could come after it
+MOST_AMOUNT = 1e9
+
+
+def write_vote(vote: Vote) -> bytes:
+    return _encoder.encode(tuple(vote))
+
+
+def write_ask(ask: Ask) -> bytes:
+    return _encoder.encode((ask.need, ask.keeper, ask.of, *ask.mark, ask.used, ask.per_s, ask.life))
+
+
+def write_grant(grant: Grant) -> bytes:
+    return _encoder.encode((grant.amount, *grant.mark, grant.carried))
+
+
+def _amount(value: float) -> float:
+    if not 0 <= value <= MOST_AMOUNT:
+        raise Malformed(f"an amount of {value}, expected 0 to {MOST_AMOUNT:g}")
+    return value
+
+
+def _mark(number: int, place: int) -> Mark:
+    if not (0 <= number < MOST_NUMBER and 0 <= place < MOST_NUMBER):
+        raise Malformed(f"a mark of {number}, {place}")
+    return Mark(number, place)
+
+
+def read_vote(value: bytes) -> Vote:
+    """Raises Malformed, as the next two do."""
+    try:
+        keeper, number = _vote.decode(value)
+    except msgspec.DecodeError as error:
+        raise Malformed(str(error)) from None
+    return Vote(keeper, _mark(number, 0).number)
+
+
+def read_ask(value: bytes) -> Ask:
+    try:
+        need, keeper, of, number, place, used, per_s, life = _ask.decode(value)
+    except msgspec.DecodeError as error:
+        raise Malformed(str(error)) from None
+    return Ask(_amount(need), keeper, of, _mark(number, place), _amount(used), _amount(per_s), life)
+
+
+def read_grant(value: bytes) -> Grant:
+    try:
+        amount, number, place, carried = _grant.decode(value)
+    except msgspec.DecodeError as error:
+        raise Malformed(str(error)) from None
+    return Grant(_amount(amount), _mark(number, place), carried)
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -132,7 +132,7 @@
         self.life = 0  # of the module; a new one starts after it broke
         # What others agreed on, as events that are due: asked before each step, so that the end of a word is
         # tested when it is used.
-        self.agreed: Callable[[], list[Event]] | None = None
+        self.agreed: Callable[[int], list[Event]] | None = None  # given the module's life
         self.observer: Callable[[Held], None] | None = None  # hears of each request when all of it is over
         self.on_end: Callable[[int, int], None] = lambda cls, status: None  # of each final answer, at once
         self.loop = asyncio.get_running_loop()
@@ -239,6 +239,10 @@
         self.events.append(event)
         self._wake()
 
+    def wake(self) -> None:
+        """A step in the next turn, whatever has happened."""
+        self._wake()
+
     def _wake(self) -> None:
         if self.turn is None:
             self.turn = self.loop.call_soon(self._step)
@@ -246,7 +250,7 @@
     def _step(self) -> None:
         self.turn = None
         batch: list[Event] = [*self.news, *self.events]
-        if self.agreed is not None and (words := self.agreed()):
+        if self.agreed is not None and (words := self.agreed(self.life)):
             batch = [*words, *batch]
             for word in words:
                 if isinstance(word, Proxies):  # a module that takes over after a fault begins there
--- a/flintlatch/peers/member.py
+++ b/flintlatch/peers/member.py
@@ -193,6 +193,13 @@
             for record in self.peers.some(others, FANOUT)
         ]
 
+    def push(self, now: float, name: str) -> list[Action]:
+        """Send one member what is new at once: it is for it, and waits for nobody else."""
+        record = self.peers.view.get(name)
+        if record is None or record.state is not State.ALIVE or self.peers.left:
+            return []
+        return [self._post(now, record.address, Message(Kind.NEWS, 0, name))]
+
     def _carry(self, now: float, actions: list[Send | Sync | Changed | Told]) -> list[Action]:
         made: list[Action] = []
         for action in actions:
--- a/flintlatch/peers/shell.py
+++ b/flintlatch/peers/shell.py
@@ -179,6 +179,9 @@
     def unsay(self, topic: str, subject: str) -> None:
         self.member.carrier.unsay(clock(), topic, subject)
 
+    def push(self, name: str) -> None:
+        self._carry_out(self.member.push(clock(), name))
+
     # Events and actions
 
     def step(self, event: Event) -> None:
--- a/flintlatch/standin/fleets.py
+++ b/flintlatch/standin/fleets.py
@@ -23,7 +23,7 @@
 from flintlatch.standin.links import Links, Relay, Trouble, apply
 from flintlatch.standin.node import Node, Shape
 from flintlatch.standin.process import START_S, FleetProcess
-from flintlatch.standin.rig import CLASSES, Rig, configuration
+from flintlatch.standin.rig import CLASSES, Rig, Rows, configuration
 
 KEY = "4b" * 32
 QUICK: dict[str, Any] = {
@@ -45,6 +45,7 @@
         self.processes: dict[str, FleetProcess] = {}
         self.relays: dict[str, Relay] = {}
         self.tables: dict[str, dict[str, Any]] = {}
+        self.rows: Rows = {}
         self.seeds: list[str] = []
         self.paused: set[str] = set()
         self.clients: Clients | None = None
@@ -110,7 +111,7 @@
         for table, keys in mine.items():
             content[table] = content.get(table, {}) | keys
         fresh = folder / "fleet.toml.new"
-        fresh.write_text(configuration(self.registry_address, **content))
+        fresh.write_text(configuration(self.registry_address, self.rows, **content))
         return fresh.rename(folder / "fleet.toml")
 
     async def start(self, name: str) -> FleetProcess:
@@ -228,10 +229,12 @@
     nodes: int = 2,
     shape: Shape | None = None,
     seed: int = 1,
+    rows: Rows | None = None,
     **tables: Any,
 ) -> AsyncIterator[Fleets]:
     """`count` fleets that know of each other; ended at the end. `tables` are those of each configuration."""
     made = Fleets(folder, zones, instances, seed)
+    made.rows = rows or {}
     try:
         await made.open(count, nodes, shape, tables)
         await made.until(made.agreed, "agreement at the start")
--- a/flintlatch/standin/rig.py
+++ b/flintlatch/standin/rig.py
@@ -12,6 +12,7 @@
 from flintlatch.standin.node import Node, Shape
 from flintlatch.standin.registry import Registry
 
+Rows = dict[str, list[dict[str, Any]]]
 DRAIN_GRACE_MS = 500.0  # from the registry's word to the last new request at a node
 CLASSES = {
     "answer": RequestClass(300, 900, Effect.SAFE, worth=1),
@@ -33,8 +34,9 @@
     return repr(value)
 
 
-def configuration(registry: str, **tables: dict[str, Any]) -> str:
-    """A fleet's configuration on a free port; `tables` replaces or adds keys, a table each."""
+def configuration(registry: str, rows: Rows | None = None, /, **tables: dict[str, Any]) -> str:
+    """A fleet's configuration on a free port; `tables` replaces or adds keys, a table each; `rows` are arrays
+    of tables by their name."""
     content: dict[str, dict[str, Any]] = {
         "fleet": {"name": "rig", "instances": 4, "listen": ["127.0.0.1:0"], "control": "c.sock"},
         "limits": {"sockets": 512, "memory_mb": 512},
@@ -52,6 +54,9 @@
         lines += [f"deadline_ms = {spec.deadline_ms}", f'effect = "{spec.effect.value}"']
         if spec.effect is Effect.KEYED:
             lines += [f'scope = "{spec.scope.value}"', f"window_ms = {spec.window_ms}"]
+    for name, several in (rows or {}).items():
+        for row in several:
+            lines += ["", f"[[{name}]]", *(f"{key} = {toml(value)}" for key, value in row.items())]
     return "\n".join(lines) + "\n"
 
 
