Shared verdicts on servers: a quorum of fleets, tried on by turns, never by one voice

Change: flintlatch/verdicts/: voices are words (failures in a row with no answer since, three of each fleet at the most); a verdict takes two fleets, four failures and over twice as many that the server fails as it answers; by zone where only that holds; a fleet that finds most servers bad has no voice; more than 0.3 of the servers are never left; three of those that use it go on trying. fleet/judging.py is the shell; the module has one event, Shun, which its own answers outweigh; [verdicts], flintlatch verdicts. On the platform nothing sends the event. Found: silence of other zones is no word for a server (sparse proxies keep to few), so who is answered is asked for where somebody accuses; what merely lapses must not count as an answer.

--- a/bench/peers.py
+++ b/bench/peers.py
@@ -68,6 +68,8 @@
     def __init__(self, made: Fleets, seed: int) -> None:
         self.made, self.random = made, Random(f"{seed}/notes")
         self.worst, self.worst_line = 0.0, ""
+        self.loose = 0.0  # the same from before the asking: it holds how long the asking took
+        self.done: dict[str, float] = {}  # by note: when it had surely been said
         self.said = self.seen = self.readings = 0
         self.ways: dict[tuple[str, str], float] = {}  # (note, reader): how old it was when first seen
         self.over = False
@@ -75,11 +77,12 @@
     async def say(self, name: str) -> None:
         while not self.over:
             for_s = self.random.choice(LIVES_S[1:])
-            # Set before the asking: the true age is never more than what is measured from here.
             text = f"{clock():.4f} {for_s}"
             request = {"do": "note", "subject": f"n{self.said % 8}", "text": text, "for_s": for_s}
             answer = await ask_one(self.made, name, request)
-            self.said += bool(answer and answer["ok"])
+            if answer and answer["ok"]:
+                self.said += 1
+                self.done[name + text] = clock()
             await asyncio.sleep(SAY_S)
 
     async def read(self, name: str) -> None:
@@ -88,10 +91,13 @@
             answer = await ask_one(self.made, name, {"do": "peers"})
             for note in (answer or {}).get("notes", ()):
                 at, for_s = map(float, note["text"].split())
-                # Believed at some moment between the asking and the answer: no later than this is sure.
-                age = began - at
+                # Said by the time its saying was answered, believed by the time this was asked: what is
+                # between the two is surely an age at which it mattered.
+                key = note["by"] + note["text"]
+                age = began - self.done.get(key, began)
                 self.seen += 1
-                self.ways.setdefault((note["by"] + note["text"], name), age)
+                self.ways.setdefault((key, name), began - at)
+                self.loose = max(self.loose, (began - at) / Carrier.stale_s(for_s))
                 if age / Carrier.stale_s(for_s) > self.worst:
                     self.worst = age / Carrier.stale_s(for_s)
                     self.worst_line = (
@@ -133,7 +139,8 @@
             f" {auditor.readings} readings, {auditor.seen} notes read; a note was first seen elsewhere after"
             f" {quantile(firsts, 0.5):.2f} s (99%: {quantile(firsts, 0.99):.2f}); agreed {healed:.1f} s after"
             f" the last fault; at rest a supervisor took {100 * quantile(cpu, 0.5):.1f}% of a core and sent"
-            f" {quantile(rate, 0.5):.0f} bytes/s; oldest: {auditor.worst_line}"
+            f" {quantile(rate, 0.5):.0f} bytes/s; oldest: {auditor.worst_line} ({auditor.loose:.3f} of the"
+            f" bound if counted from before it was asked to say it)"
         )
         return auditor.worst, healed <= AGREE_S and not bugs
 
--- a/flintlatch/api.py
+++ b/flintlatch/api.py
@@ -228,6 +228,14 @@
     burst: float  # that may come at once
 
 
+class Shun(NamedTuple):
+    """Others find this server bad, and some of them go on trying it: leave it to them for so long, unless it
+    answers us."""
+
+    server: str
+    for_ms: float  # 0: no longer
+
+
 class ProbeResult(NamedTuple):
     server: str
     result: Result
@@ -240,7 +248,7 @@
 
 Event = (
     Arrival | Outcome | StreamStarted | BodyCame | BodySent | BodyGone | ClientGone | ServerList
-    | ServiceMoved | Proxies | Part | ProbeResult | TimerFired
+    | ServiceMoved | Proxies | Part | Shun | ProbeResult | TimerFired
 )  # fmt: skip
 
 # Actions
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import replace
 from heapq import heappop, heappush, nlargest
 from math import inf, log, sqrt
@@ -20,7 +21,7 @@
 from flintlatch.api import (
     NEVER_RAN, Action, Arrival, BodyCame, BodyGone, BodySent, Cancel, ClientGone, Effect, Event, Fail, Limit,
     ListKind, Log, Outcome, Part, Proxies, Refuse, RequestClass, Result, Scope, Send, ServerInfo, ServerList,
-    ServerState, ServiceMoved, SetTimer, Settings, StreamStarted, TimerFired, Watch,
+    ServerState, ServiceMoved, SetTimer, Settings, Shun, StreamStarted, TimerFired, Watch,
 )  # fmt: skip
 
 BEAT_MS = 25.0  # ms between housekeeping rounds: expiry and recovery need no finer grain
@@ -53,6 +54,10 @@
 FAIL_CUT = 0.8  # factor on the limit after a failure that tells of load
 FAIR_SPREADS = 3.0  # mean deviations above the usual latency that an attempt needs to have a fair chance
 SILENT = 2.0  # usual latencies without an answer after which a server that holds requests may hang
+OWN_MS = 2000.0  # ms for which an answer of a server counts for more than others' word on it
+EVIDENCE_MS = (
+    10_000.0  # ms for which a failure with no answer since is evidence: as long as a payoff tells of it
+)
 STRIKES = 3  # failures in a row after which a server rests
 REST_MS = (500.0, 8000.0)  # ms, first rest and the longest: doubled each time, jittered
 RETRY_SHARE = 0.1  # attempts beyond the first per arrival: retries can't add more than this to any load
@@ -115,7 +120,8 @@
         self.payoff, self.plays = 1.0, 0.0
         self.strikes, self.rest_until, self.rest_ms = 0, 0.0, REST_MS[0]
         self.answered, self.rate, self.tokens = 0, 0.0, 0.0
-        self.failing_from = 0.0  # the first failure of those in a row
+        self.failing_from, self.failed_at = 0.0, -inf  # the first failure of those in a row, the last of all
+        self.shunned_until, self.good_at = 0.0, -inf  # by others' word; its last answer to us
         self.doubt_until, self.signs = 0.0, 0  # it was away and may have started anew; quick answers since
         self.takes = 0.0  # as one of many: part of what would come to it that it takes while it is cold
         self.load, self.share = 0.0, 1.0  # requests a core it holds, of all; part of its keys it is given
@@ -123,9 +129,9 @@
         self.started, self.cold_until = None, 0.0
 
     def room(self, now: float, each: float = 0.0) -> bool:
-        if self.rest_until > now:
+        if self.rest_until > now or self.shunned_until > now:
             return False
-        if self.strikes >= STRIKES:  # back from a rest: one request on trial, not a full load
+        if self.strikes >= STRIKES or self.shunned_until:  # back from a rest: one on trial, not a full load
             return self.inflight == 0
         if self.cold(now) and self.tokens < 1.0 and not self.takes:
             return False
@@ -344,6 +350,8 @@
                 self.on_proxies(now, event)
             elif isinstance(event, Part):
                 self.on_part(now, event)
+            elif isinstance(event, Shun):
+                self.on_shun(now, event)
             elif isinstance(event, StreamStarted):
                 self.on_stream(now, event)
             elif isinstance(event, BodySent):
@@ -426,6 +434,26 @@
             if not (self.many and self.to_cold(now, request)):
                 self.hold(request, False)
 
+    def on_shun(self, now: float, event: Shun) -> None:
+        """What others saw is less than what we see: one that answered us a moment ago is used on. One that is
+        back from it begins with one request on trial, as from a rest."""
+        server = self.servers.get(event.server)
+        if server is None or now - server.good_at < OWN_MS:
+            return
+        if event.for_ms or server.shunned_until:
+            server.shunned_until = now + event.for_ms
+
+    def found_bad(self, now: float) -> dict[str, int]:
+        """Servers that failed ourselves and have not answered since, with how often, up to a rest."""
+        own = (s for s in self.active if s.strikes and s.good_at < s.failed_at)
+        mine = (s for s in own if s.rest_until > now or now - s.failed_at < EVIDENCE_MS)
+        return {s.id: min(s.strikes, STRIKES) for s in mine}
+
+    def found_good(self, now: float, accused: Iterable[str]) -> list[str]:
+        """Of those that somebody finds bad the ones that answered us a moment ago, and did not fail since."""
+        known = (s for name in accused if (s := self.servers.get(name)) is not None)
+        return [s.id for s in known if s.failed_at < s.good_at and now - s.good_at < OWN_MS]
+
     def on_part(self, now: float, event: Part) -> None:
         bucket = self.buckets.setdefault(event.limit, Bucket(event, now))
         bucket.refill(now)
@@ -586,7 +614,8 @@
         step = max(PAYOFF_STEP, self.many / (1 + server.plays))
         server.payoff += ((1.0 if won else 0.0) - server.payoff) * step
         if result is Result.OK:
-            server.silent_from = now
+            server.silent_from = server.good_at = now
+            server.shunned_until = 0.0
             self.doubt(now, server, delay <= DOUBT_SLOW * self.class_floor[request.cls])
             if not attempt.begun:  # else its end will tell
                 server.strikes, server.rest_ms = 0, REST_MS[0]
@@ -618,6 +647,7 @@
     def strike(self, now: float, server: Server, sure: bool = False) -> None:
         """`sure`: one failure is enough. What takes no connection serves nobody, and where each of many
         proxies needs three to see it, a server that has gone costs all of them a hundred."""
+        server.failed_at = now
         if not server.strikes:
             server.failing_from = now
         server.strikes = STRIKES if sure else server.strikes + 1
--- a/flintlatch/cli.py
+++ b/flintlatch/cli.py
@@ -69,6 +69,12 @@
     )
     limits = running("limits", "show the limits of all fleets: keepers, parts, and the most under any cut")
     limits.add_argument("--json", action="store_true", help="print the answer of the control socket as it is")
+    verdicts = running(
+        "verdicts", "show what the fleets find of servers together, and who goes on trying them"
+    )
+    verdicts.add_argument(
+        "--json", action="store_true", help="print the answer of the control socket as it is"
+    )
     demo = command("demo", "run stand-in nodes and a fleet on loopback, through a reload and a node's death")
     demo.add_argument("--seed", type=int, default=1, help="of the traffic (default: %(default)s)")
     demo.add_argument("--seconds", type=float, default=12.0, help="of traffic (default: %(default)s)")
@@ -275,6 +281,29 @@
     return 0
 
 
+def verdicts(args: argparse.Namespace) -> int:
+    answer = ask(args, {"do": "verdicts"})
+    if answer is None or not answer["ok"]:
+        if answer is not None:
+            print(f"verdicts: {answer['reason']}", file=sys.stderr)
+        return 1
+    if args.json:
+        print(json.dumps(answer, indent=2))
+        return 0
+    for fleet in answer["ill"]:
+        print(f"{fleet} finds most servers bad and others don't: its voice counts for nothing")
+    if answer["many"]:
+        print(f"{answer['many']} servers found bad: too many to leave, all are used")
+    row = "{:<24} {:<10} {:<12} {:<7} {:<28} {}"
+    print(row.format("server", "out", "for zone", "shunned", "voices", "tried by"))
+    for one in answer["servers"]:
+        out = "yes" if one["out"] else "no"
+        shunned = "yes" if one["shunned_here"] else "no"
+        zone = one["zone"] or "all" if one["out"] else "-"
+        print(row.format(one["server"], out, zone, shunned, " ".join(one["voices"]), " ".join(one["tries"])))
+    return 0
+
+
 def check_nodes(args: argparse.Namespace) -> int:
     from flintlatch.membership import Unreadable
     from flintlatch.membership.files import read
@@ -332,6 +361,8 @@
         return peers(args)
     if args.command == "limits":
         return limits(args)
+    if args.command == "verdicts":
+        return verdicts(args)
     if args.command in ("reload", "upgrade", "stop"):
         return command_running(args.command, args)
     if args.command == "demo":
--- a/flintlatch/config/__init__.py
+++ b/flintlatch/config/__init__.py
@@ -36,10 +36,12 @@
     read_peers,
     read_start,
     read_tenant,
+    read_verdicts,
     unique,
 )
 from flintlatch.limits.rows import MOST_LIMITS, Limit, Terms, WhenCut
 from flintlatch.settings import Wire
+from flintlatch.verdicts.rows import Rules
 
 __all__ = ["Config", "Problem", "Unusable", "beside", "find_control", "load", "parse", "read_file"]
 
@@ -63,6 +65,7 @@
     http: HttpTable | None  # None: the platform's protocol
     access_log: AccessLogTable | None
     peers: PeersTable | None  # None: this fleet knows of no other
+    verdicts: Rules | None  # None: each judges servers by itself
     shared: tuple[Limit, ...]  # limits of all fleets together
     terms: Terms
 
@@ -174,12 +177,15 @@
         http=None,
         access_log=read_access_log(top.sub("access_log")) if "access_log" in raw else None,
         peers=None,
+        verdicts=read_verdicts(top.sub("verdicts")) if "verdicts" in raw else None,
         shared=(),
         terms=read_keepers(top.sub("keepers")),
     )
     tenants, classes = (tuple(row.name for row in rows) for rows in (config.tenants, config.classes))
     shared = tuple(read_limit(row, tenants, classes) for row in top.subs("limit"))
     config = replace(config, shared=shared)
+    if config.verdicts is not None and "peers" not in raw:
+        top.problem("verdicts", "a table", "a [peers] table: they are shared with other fleets")
     if len(shared) > MOST_LIMITS:
         top.problem("limit", f"{len(shared)} rows", f"at most {MOST_LIMITS}")
     if shared and "peers" not in raw:
--- a/flintlatch/config/tables.py
+++ b/flintlatch/config/tables.py
@@ -9,6 +9,7 @@
 from flintlatch.api import Effect, RequestClass, Scope
 from flintlatch.config.reader import Reader, address, shown
 from flintlatch.limits.rows import MOST_HOLDERS, Limit, Terms, WhenCut
+from flintlatch.verdicts.rows import Rules
 
 MOST_INSTANCES = 256  # processes on one machine: far beyond its cores, and far below its process table
 CONTROL_PATH_MOST = 100  # bytes: a Unix socket's path holds 108, less the suffix it is first made under
@@ -510,6 +511,19 @@
     return terms
 
 
+def read_verdicts(reader: Reader) -> Rules:
+    rules = Rules(
+        quorum=reader.whole("quorum", 2, 100, 2),
+        strikes=reader.whole("strikes", 2, 1000, 4),
+        part=reader.number("part", 0, 1, 0.05),
+        most_out=reader.number("most_out", 0, 0.5, 0.3),
+        itself=reader.number("itself", 0.1, 1, 0.5),
+        life_s=reader.number("life_s", 0.2, 60, 2),
+    )
+    reader.done()
+    return rules
+
+
 def read_transfer(reader: Reader) -> TransferRow:
     def number(key: str, least: float, most: float) -> float | None:
         return reader.number(key, least, most, 0.0) if key in reader.table else None
--- a/flintlatch/fleet/agreed.py
+++ b/flintlatch/fleet/agreed.py
@@ -11,6 +11,7 @@
 from flintlatch.config import Config, beside
 from flintlatch.config.tables import PeersTable
 from flintlatch.fleet.channel import Message
+from flintlatch.fleet.judging import Judging
 from flintlatch.fleet.limiting import Limiting
 from flintlatch.limits.api import topics
 from flintlatch.peers import Census, Merge, Place, Rules, Sight, State, Topic, View, Word
@@ -18,6 +19,7 @@
 from flintlatch.peers.seal import BadKeys, read_keys
 from flintlatch.peers.shell import NotBound, Options, Shell
 from flintlatch.peers.words import SUBJECT_MOST, VALUE_MOST, Carrier
+from flintlatch.verdicts.api import SEEN
 
 OPEN_AGAIN_S = 0.5  # until an address that a predecessor may still hold is tried again
 RENEW = 3  # times in its life that a word to the instances is said anew
@@ -34,6 +36,7 @@
         table: PeersTable,
         tell: Callable[[Message], None],
         tell_one: Callable[[int, Message], None],
+        servers: Callable[[], set[str]],
         log: Callable[[str, str], None],
     ) -> None:
         self.config, self.table, self.tell, self.log = config, table, tell, log
@@ -48,15 +51,29 @@
         self.limiting: Limiting | None = None
         if config.shared:
             self.limiting = Limiting(config.shared, config.terms, lambda: self.shell, tell_one, log)
+        self.judging: Judging | None = None
+        if config.verdicts is not None:
+            self.judging = Judging(config.verdicts, lambda: self.shell, tell, servers, log)
 
     def start(self) -> None:
         self.opening = self.loop.create_task(self._open())
         self._beat()
         if self.limiting is not None:
             self.limiting.start()
+        if self.judging is not None:
+            self.judging.start()
 
     def topics(self) -> tuple[Topic, ...]:
-        return (NOTES, *(topics(self.config.terms.term_s) if self.limiting is not None else ()))
+        limits = topics(self.config.terms.term_s) if self.limiting is not None else ()
+        seen = (SEEN(self.config.verdicts.life_s),) if self.config.verdicts is not None else ()
+        return (NOTES, *limits, *seen)
+
+    def gone(self, worker: int) -> None:
+        """An instance has ended."""
+        if self.limiting is not None:
+            self.limiting.gone(worker)
+        if self.judging is not None:
+            self.judging.gone(worker)
 
     async def _open(self) -> None:
         while not self.ended:
@@ -136,6 +153,8 @@
             self.opening.cancel()
         if self.limiting is not None:
             self.limiting.close()
+        if self.judging is not None:
+            self.judging.close()
         if self.shell is not None:
             self.shell.close()
 
@@ -161,6 +180,8 @@
     def _on_news(self, words: tuple[Word, ...]) -> None:
         if self.limiting is not None:
             self.limiting.on_news()
+        if self.judging is not None and any(word.topic == "seen" for word in words):
+            self.judging.look()
         for word in words:
             if word.topic == NOTES.name and word.value:
                 text = word.value.decode("utf-8", "replace")
--- a/flintlatch/fleet/heard.py
+++ b/flintlatch/fleet/heard.py
@@ -11,7 +11,7 @@
 from math import inf
 from typing import Any
 
-from flintlatch.api import Event, Part, Proxies
+from flintlatch.api import Event, Part, Proxies, Shun
 
 
 class Heard:
@@ -34,6 +34,10 @@
         self.told: dict[str, Part] = {}
         self.follows: dict[str, list[int]] = {}  # grants that the module goes by, by limit
         self.next_end, self.news = 0.0, True
+        self.shunned: set[str] = set()  # as the module was told
+        self.shun: tuple[set[str], float] = set(), 0.0  # as we were, and until when
+        self.accused: set[str] = set()  # servers that somebody finds bad: what we see of them is asked for
+        self.shun_news = False
 
     def on_word(self, word: dict[str, Any]) -> None:
         """Raises KeyError, TypeError or ValueError for what is no word. One about something else is left."""
@@ -41,6 +45,10 @@
             proxies, first = map(int, word["value"])
             self.place = Proxies(max(proxies, 1), max(first, 0) + self.number)
             self.until = float(word["until"])
+        elif word["about"] == "shun":
+            self.shun = set(map(str, word["value"])), float(word["until"])
+            self.accused = set(map(str, word["accused"]))
+            self.shun_news = True
         elif word["about"] == "limit" and word["limit"] in self.fixed:
             per_s, burst, *mark = word["value"]
             alone = self.fixed[word["limit"]]
@@ -52,9 +60,12 @@
         now = self.clock()
         if life != self.life:
             self.life, self.told, self.news = life, {}, True
+            self.shunned, self.shun_news = set(), True
         events: list[Event] = []
         if self.news or now >= self.next_end:
             events += self._parts(now)
+        if self.shun_news or self.shunned:
+            events += self._shuns(now)
         lone = now >= self.until
         wanted = self.alone if lone else self.place
         if lone and not self.lone:
@@ -65,6 +76,19 @@
             events.append(wanted)
         return events
 
+    def _shuns(self, now: float) -> list[Event]:
+        servers, until = self.shun
+        if not self.shun_news:
+            if now >= until:  # each has its end in the module too
+                self.shunned = set()
+            return []
+        self.shun_news = False
+        left = max(until - now, 0.0) * 1000
+        wanted = servers if left else set()
+        ended = [Shun(server, 0.0) for server in sorted(self.shunned - wanted)]
+        self.shunned = set(wanted)
+        return [*ended, *(Shun(server, left) for server in sorted(wanted))]
+
     def _parts(self, now: float) -> list[Event]:
         self.news, self.next_end = False, inf
         changed: list[Event] = []
--- a/flintlatch/fleet/supervisor.py
+++ b/flintlatch/fleet/supervisor.py
@@ -248,7 +248,7 @@
         except ImportError as error:
             self.log("error", f"peers: {error.name} is not installed: pip install flintlatch[peers]")
             return
-        self.agreed = Agreed(config, config.peers, self._tell_all, self._tell_one, self.log)
+        self.agreed = Agreed(config, config.peers, self._tell_all, self._tell_one, self._servers, self.log)
         self.agreed.start()
 
     def _tell_all(self, message: Message) -> None:
@@ -256,6 +256,12 @@
             if process.channel is not None:  # one that starts is told what holds then
                 process.channel.say(message)
 
+    def _servers(self) -> set[str]:
+        """Uids that the current generation's list names."""
+        current = self.core.current
+        nodes = self.nodes.get(current.number) if current is not None else None
+        return set(nodes.targets) if nodes is not None else set()
+
     def _tell_one(self, worker: int, message: Message) -> None:
         if (process := self.processes.get(worker)) is not None and process.channel is not None:
             process.channel.say(message)
@@ -427,8 +433,8 @@
         self.spread.leave(action.worker)
         self.totals.ended(action.worker)
         del self.processes[action.worker]
-        if self.agreed is not None and self.agreed.limiting is not None:
-            self.agreed.limiting.gone(action.worker)
+        if self.agreed is not None:
+            self.agreed.gone(action.worker)
         self._step(core.WorkerExited(action.worker, how))
 
     async def _worker_life(self, action: core.Spawn, process: Process) -> str:
@@ -502,6 +508,9 @@
         elif kind == "limits":
             if self.agreed is not None and self.agreed.limiting is not None and worker in self.processes:
                 self.agreed.limiting.on_instance(worker, message)
+        elif kind == "seen":
+            if self.agreed is not None and self.agreed.judging is not None and worker in self.processes:
+                self.agreed.judging.on_instance(worker, message)
         elif kind == "failed":
             self._step(core.WorkerFailed(worker, str(message.get("reason"))))
 
@@ -660,7 +669,12 @@
             if limiting is None:
                 return {"ok": False, "reason": "no [[limit]] with [peers] here"}
             return {"ok": True, "limits": limiting.report()}
-        expected = "status, reload, upgrade, stop, nodes, confirm, peers, note, limits"
+        if command == "verdicts":
+            judging = self.agreed.judging if self.agreed is not None else None
+            if judging is None:
+                return {"ok": False, "reason": "no [verdicts] with [peers] here"}
+            return {"ok": True, **judging.report()}
+        expected = "status, reload, upgrade, stop, nodes, confirm, peers, note, limits, verdicts"
         return {"ok": False, "reason": f"expected 'do' to be one of {expected}"}
 
     def _on_peers(self, request: Message) -> Message:
--- a/flintlatch/fleet/worker.py
+++ b/flintlatch/fleet/worker.py
@@ -25,6 +25,7 @@
 from flintlatch.fleet.spread import REST_S, Spread
 from flintlatch.handover import Offer
 from flintlatch.net.backends import share_out
+from flintlatch.net.clock import now_ms
 from flintlatch.net.discovery import read_listing
 from flintlatch.net.engine import Engine, log
 from flintlatch.net.frontend import ACCEPT_SHARED, Frontend
@@ -36,6 +37,7 @@
     from flintlatch.fleet.observe import Observer
 
 BEATS = 5  # signs of life within the watchdog's time: one that comes late must not count as silence
+SEEN_S = 0.1  # s between two words on servers that failed
 LIMITS_S = 0.1  # s between two words on what limits were asked for
 MOST_UNREAD = 16 * 1024  # bytes that wait for a supervisor which does not read
 LAST_WORDS_S = 0.3  # s for the answers written at the limit to leave
@@ -58,6 +60,7 @@
         self.spread: Spread | None = None
         self.offer: Offer | None = None
         self.heard: Heard | None = None
+        self.seen = False  # whether it has said that some server is bad
         self.config: Config
         self.socks: list[socket.socket] = []
         self.ready_said = self.accepting = False
@@ -165,6 +168,8 @@
             self.engine.agreed = self.heard.due
             if self.config.shared:
                 self.say_limits()
+            if self.config.verdicts is not None:
+                self.say_seen()
         if message.get("spread") is not None and self.config.fleet.instances > 1:
             self.spread = Spread(message["spread"], int(message["worker"]))
             self.frontend.tell_held, self.frontend.should_rest = self.spread.tell, self.spread.should_rest
@@ -255,6 +260,19 @@
         self.loop.call_later(LIMITS_S, self.say_limits)
         self.say_followed()
 
+    def say_seen(self) -> None:
+        """Which servers failed this instance and have not answered it since."""
+        self.loop.call_later(SEEN_S, self.say_seen)
+        engine = self.engine
+        if engine is not None and self.channel.unread() <= MOST_UNREAD:
+            now = now_ms()
+            bad = engine.balancer.found_bad(now)
+            accused = self.heard.accused if self.heard is not None else ()
+            good = engine.balancer.found_good(now, accused)
+            if bad or good or self.seen:
+                self.channel.say({"kind": "seen", "bad": bad, "good": good})
+            self.seen = bool(bad or good)
+
     def say_followed(self) -> None:
         """What was asked for so far by limit, and the grants that the module goes by."""
         engine, heard = self.engine, self.heard
--- a/tests/fleet/test_start.py
+++ b/tests/fleet/test_start.py
@@ -130,7 +130,7 @@
             assert answer == {
                 "ok": False,
                 "reason": "expected 'do' to be one of status, reload, upgrade, stop, nodes, confirm, "
-                "peers, note, limits",
+                "peers, note, limits, verdicts",
             }
             reader, writer = await asyncio.open_unix_connection(path)
             writer.write(b"not json\n")
