--- a/bench/peers.py
+++ b/bench/peers.py
@@ -16,6 +16,7 @@
 import argparse
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -145,6 +146,29 @@
         return auditor.worst, healed <= AGREE_S and not bugs
 
 
+async def grow(seed: int, count: int, most: int, folder: Path) -> bool:
+    """`count` fleets become `most` at once and go back; whether anybody was held dead."""
+    async with fleets(folder, count, nodes=3, seed=seed) as made:
+        more = [f"f{n}" for n in range(count, most)]
+        for name in more:
+            await made.place(name)
+            made.write(name)
+        began = clock()
+        await asyncio.gather(*map(made.start, more))
+        started = clock() - began
+        up = await made.until(made.agreed, f"agreement of {most}")
+        for name in more:
+            made.processes[name].signal(signal.SIGTERM)
+        await asyncio.gather(*(made.processes.pop(name).ended() for name in more))
+        down = await made.until(made.agreed, f"agreement of {count}")
+        died = int((await made.peers("f0"))["counts"]["died"])
+        print(
+            f"real: {count} fleets become {most}, started within {started:.1f} s, agreed {up:.1f} s after"
+            f" the last; {most - count} stopped: agreed {down:.1f} s after that, {died} held dead"
+        )
+        return died == 0
+
+
 def virtual(n: int, seed: int) -> None:
     members = Members(seed, Rules(), topics=(WORD,))
     started = time.process_time()
@@ -210,6 +234,7 @@
     )
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--fleets", type=int, default=20)
+    parser.add_argument("--grow", type=int, default=30, help="fleets that 4 become; 0: left out")
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--members", default="10,100,1000", help="sizes in virtual time")
     parser.add_argument("--minutes", type=float, default=100.0, help="that 100 members lose datagrams")
@@ -224,6 +249,9 @@
     if args.fleets:
         with tempfile.TemporaryDirectory(prefix="flintlatch-") as name:
             worst, good = uvloop.run(real(args.seed, args.fleets, args.seconds, Path(name)))
+    if args.grow:
+        with tempfile.TemporaryDirectory(prefix="flintlatch-") as name:
+            good = uvloop.run(grow(args.seed, 4, args.grow, Path(name))) and good
     held = worst <= 1 and good and not died
     print(
         f"peers seed {args.seed}: oldest word believed {worst:.3f} of its bound, {died} false deaths at up to"
