--- a/flintlatch/cli.py
+++ b/flintlatch/cli.py
@@ -133,6 +133,15 @@
         return None
 
 
+def answered(args: argparse.Namespace, request: dict[str, Any]) -> dict[str, Any] | None:
+    """The same, where an answer that is a refusal is a line too."""
+    answer = ask(args, request)
+    if answer is not None and not answer["ok"]:
+        print(f"{request['do']}: {answer['reason']}", file=sys.stderr)
+        return None
+    return answer
+
+
 def command_running(command: str, args: argparse.Namespace) -> int:
     # A reload waits for the nodes' list and for the new generation, each within its limit.
     answer = ask(args, {"do": command}, 1300.0)
@@ -215,16 +224,14 @@
 
 def peers(args: argparse.Namespace) -> int:
     if args.say:
-        answer = ask(args, {"do": "note", "subject": args.subject, "text": args.say, "for_s": args.for_s})
-        if answer is None or not answer["ok"]:
-            print(f"peers: {answer['reason']}" if answer else "peers: no answer", file=sys.stderr)
+        request = {"do": "note", "subject": args.subject, "text": args.say, "for_s": args.for_s}
+        answer = answered(args, request)
+        if answer is None:
             return 1
         print(f"told; nobody shows it later than {answer['until_at_most_s']} s from now")
         return 0
-    answer = ask(args, {"do": "peers"})
-    if answer is None or not answer["ok"]:
-        if answer is not None:
-            print(f"peers: {answer['reason']}", file=sys.stderr)
+    answer = answered(args, {"do": "peers"})
+    if answer is None:
         return 1
     if args.json:
         print(json.dumps(answer, indent=2))
@@ -262,10 +269,8 @@
 
 
 def limits(args: argparse.Namespace) -> int:
-    answer = ask(args, {"do": "limits"})
-    if answer is None or not answer["ok"]:
-        if answer is not None:
-            print(f"limits: {answer['reason']}", file=sys.stderr)
+    answer = answered(args, {"do": "limits"})
+    if answer is None:
         return 1
     if args.json:
         print(json.dumps(answer, indent=2))
@@ -282,10 +287,8 @@
 
 
 def verdicts(args: argparse.Namespace) -> int:
-    answer = ask(args, {"do": "verdicts"})
-    if answer is None or not answer["ok"]:
-        if answer is not None:
-            print(f"verdicts: {answer['reason']}", file=sys.stderr)
+    answer = answered(args, {"do": "verdicts"})
+    if answer is None:
         return 1
     if args.json:
         print(json.dumps(answer, indent=2))
