Test what is told of faults in [peers], [[limit]], [keepers] and [verdicts]

Need: found by a last look: the readers of the four new tables had no test of bad input; only good configurations of the rig went through them. Change: 17 tests of the good case, each fault by place, find and expectation, rows without [peers], too many, twice. No code needed mending.

--- a/tests/config/test_config.py
+++ b/tests/config/test_config.py
@@ -171,3 +171,85 @@
     assert capsys.readouterr().err.endswith("5 problems\n")
     assert main(["status", str(EXAMPLE)]) == 1
     assert "no fleet runs there" in capsys.readouterr().err
+
+
+SHARED = """
+[peers]
+bind = "127.0.0.1:7946"
+seeds = ["127.0.0.2:7946"]
+key_file = "peers.key"
+[[limit]]
+name = "school"
+tenant = "school"
+class = "buy"
+per_s = 10
+burst = 2
+when_cut = "strict"
+[keepers]
+voters = ["a", "b", "c"]
+[verdicts]
+"""
+
+
+def test_what_fleets_share_is_read_with_its_parts_alone() -> None:
+    config = parse(STATIC + SHARED, "f.toml")
+    assert config.peers is not None and (config.peers.name, config.peers.period_s) == ("t", 1.0)
+    assert config.terms.fleets == 3 and config.verdicts is not None and config.verdicts.quorum == 2
+    assert [(part.cls, part.tenant, part.per_s) for part in config.parts_alone()] == [(0, 0, 0.0)]
+    opened = parse(STATIC + SHARED.replace('"strict"', '"open"'), "f.toml").parts_alone()[0]
+    assert opened.per_s == pytest.approx(10 * 2 / 3)  # as a part of a cut with nobody else in it
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "words"),
+    [
+        ('bind = "127.0.0.1:7946"\n', "", "peers.bind: missing, expected an address"),
+        ('"127.0.0.2:7946"', '"127.0.0.2:0"', "peers.seeds[0]: found '127.0.0.2:0', expected a port"),
+        ('key_file = "peers.key"', "", "peers.key_file: missing"),
+        (
+            'key_file = "peers.key"',
+            'key_file = "k"\nack_s = 2',
+            "peers.ack_s: found 2, expected below period_s",
+        ),
+        (
+            'key_file = "peers.key"',
+            'key_file = "k"\nforget_s = 40',
+            "forget_s: found 40, expected above twice",
+        ),
+        ('key_file = "peers.key"', 'key_file = "k"\nregion = "' + "x" * 33 + '"', "expected at most 32 char"),
+        ('tenant = "school"', 'tenant = "scool"', "limit[0].tenant: found 'scool', expected one of"),
+        ('class = "buy"', 'class = "by"', "limit[0].class: found 'by', expected one of"),
+        ("per_s = 10", "per_s = 0", "limit[0].per_s: found 0, expected a number from 0.01"),
+        ('when_cut = "strict"', "", 'limit[0].when_cut: missing, expected one of "strict", "open"'),
+        (
+            '["a", "b", "c"]',
+            '["a", "b", "a"]',
+            "keepers.voters[0]: found 'a', expected the name of a fleet, each",
+        ),
+        (
+            '["a", "b", "c"]',
+            '["a", "b", "c"]\nfleets = 2',
+            "keepers.fleets: found 2, expected at least the 3",
+        ),
+        ('voters = ["a", "b", "c"]', "", "keepers.voters: missing, expected the fleets that vote"),
+        ("[verdicts]", "[verdicts]\nquorum = 1", "verdicts.quorum: found 1, expected a whole number from 2"),
+        ("[verdicts]", "[verdicts]\nmost_out = 0.9", "verdicts.most_out: found 0.9"),
+    ],
+)
+def test_each_fault_in_what_fleets_share_is_named(old: str, new: str, words: str) -> None:
+    assert old in SHARED
+    found = problems(STATIC + SHARED.replace(old, new, 1))
+    assert any(words in problem for problem in found), found
+
+
+def test_what_fleets_share_needs_peers_and_no_more_rows_than_are_bounded() -> None:
+    alone = SHARED[SHARED.index("[[limit]]") :]
+    found = problems(STATIC + alone)
+    assert any("limit: found 1 rows, expected a [peers] table" in one for one in found), found
+    assert any("verdicts: found a table, expected a [peers] table" in one for one in found), found
+    rows = "".join(f'[[limit]]\nname = "l{n}"\nper_s = 1\nwhen_cut = "open"\n' for n in range(65))
+    assert any("found 66 rows, expected at most 64" in one for one in problems(STATIC + SHARED + rows))
+    twice = SHARED + '[[limit]]\nname = "school"\nper_s = 1\nwhen_cut = "open"\n'
+    assert any(
+        "limit.name: found 'school', expected each name once" in one for one in problems(STATIC + twice)
+    )
