A list over the bound is named as such, not as a broken connection

Seen: from some 8,000 servers on a proxy never takes its list, and its log says ConnectionError: connection broken, which sends the reader to the network. Checked: the answer is cut by MAX_LIST (1 MiB) in Exchange.fits and on_body, which give no reason to on_broken. Change: the call to the list service tells the size, where the answer does, and the bound. The bound stays: 1 MiB is 8,000 servers, and memory may be 32 MB; what carries more is delivery. Result: two tests, by length and chunked, that fail without it; tests/test_discovery.py passes.

--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -30,7 +30,7 @@
 # counts as told at once. So it is asked again and again, with a limit that its answers are far below.
 AGENT_GRACE_MS = 250
 AGENT_RETRY_S = 0.05
-MAX_LIST = 1024 * 1024
+MAX_LIST = 1024 * 1024  # bytes; a list of some 8,000 servers. Memory may be 32 MB
 
 
 class Target(NamedTuple):
@@ -87,6 +87,7 @@
     def __init__(self) -> None:
         super().__init__(MAX_LIST)
         self.answer: asyncio.Future[Response] | None = None
+        self.told = 0  # the length of an answer that is too long, where it tells it
 
     async def get(self, request: bytes) -> Response:
         self.answer = asyncio.get_running_loop().create_future()
@@ -97,8 +98,18 @@
         if self.answer is not None and not self.answer.done():
             self.answer.set_result(response)
 
+    def fits(self, lengths: list[bytes], codings: list[bytes]) -> bool:
+        if len(lengths) == 1 and lengths[0].strip().isdigit():
+            self.told = int(lengths[0].strip()[:18])
+        return super().fits(lengths, codings)
+
     def on_broken(self) -> None:
-        if self.answer is not None and not self.answer.done():
+        if self.answer is None or self.answer.done():
+            return
+        if max(self.told, len(self._body)) > MAX_LIST:
+            size = f"{self.told}" if self.told > MAX_LIST else f"over {MAX_LIST}"
+            self.answer.set_exception(Malformed(f"a list of {size} bytes, {MAX_LIST} at most can be taken"))
+        else:
             self.answer.set_exception(ConnectionError("connection broken"))
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -164,6 +164,26 @@
     run(test())
 
 
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_list_over_the_bound_is_a_failed_call_that_names_the_bound(chunked: bool) -> None:
+    """It was "connection broken", which sends its reader to the network."""
+
+    async def test() -> None:
+        async with watching() as (heard, peer):
+            call = await peer.calls.get()
+            size = discovery_module.MAX_LIST + 1
+            if chunked:
+                head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n" % size
+                call.writer.write(head + b" " * size)
+            else:
+                call.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+            told = await heard.failures.get()
+            assert f"{size} bytes" in told or f"over {size - 1} bytes" in told
+            assert f"{size - 1} at most" in told and told.startswith("Malformed")
+
+    run(test())
+
+
 def test_a_watch_that_meets_a_bug_is_a_failed_call() -> None:
     async def test() -> None:
         async with watching() as (heard, peer):
