--- a/flintlatch/cli.py
+++ b/flintlatch/cli.py
@@ -75,6 +75,16 @@
     verdicts.add_argument(
         "--json", action="store_true", help="print the answer of the control socket as it is"
     )
+    for name, text in (
+        ("origin", "run the origin of delivery: it commits a watched file of objects; USR1 logs its status"),
+        ("relay", "run a relay of delivery between the origin and proxies; USR1 logs its status"),
+        ("follow", "follow objects at the relays and show what is in force, its age and the bounds"),
+    ):
+        delivery = command(name, text)
+        delivery.add_argument("config", metavar="FILE", help="its [delivery] table, a TOML file")
+    delivery.add_argument("names", nargs="*", metavar="NAME", help="of objects, if not those in FILE")
+    delivery.add_argument("--json", action="store_true", help="a row a line, with the machine's clock")
+    delivery.add_argument("--once", action="store_true", help="show all that is in force once it is there")
     demo = command("demo", "run stand-in nodes and a fleet on loopback, through a reload and a node's death")
     demo.add_argument("--seed", type=int, default=1, help="of the traffic (default: %(default)s)")
     demo.add_argument("--seconds", type=float, default=12.0, help="of traffic (default: %(default)s)")
@@ -114,6 +124,7 @@
         "registry": config.nodes.registry,
         "files": ", ".join(config.nodes.files),
         "catalogue": config.nodes.catalogue,
+        "delivery": config.nodes.service,
     }
     source = named.get(config.nodes.source) or f"{len(config.nodes.static)} named"
     print(f"{path}: good: {config.fleet.instances} instances, {len(config.classes)} classes, nodes: {source}")
@@ -212,6 +223,10 @@
             f"{source['source']}: version {source['version']}, {source['nodes']} nodes, "
             f"{source['rejected']} rejected{old}{held}{failure}"
         )
+        if (told := source.get("delivery")) is not None:
+            age = "no age" if told["age_s"] is None else f"at most {told['age_s']} s old"
+            why = f"; {told['complaint']}" if told["complaint"] else ""
+            print(f"  revision {told['revision']}, {age}, relay {told['relay'] or 'none'}{why}")
         for one in source["rejections"][-1:]:
             print(f"  last rejection: {'; '.join(one['faults'])}")
     row = "{:<24} {:<24} {:<8} {:>8}"
@@ -344,6 +359,39 @@
     return 0
 
 
+def delivery(args: argparse.Namespace) -> int:
+    """One of delivery's own processes."""
+    try:
+        import uvloop
+
+        from flintlatch.config import Unusable
+        from flintlatch.config.delivery import load_follow, load_origin, load_relay
+        from flintlatch.delivery import run
+    except ModuleNotFoundError as error:
+        expected = "expected pip install flintlatch[peers]"
+        print(f"flintlatch {args.command}: error: {error.name} is not installed; {expected}", file=sys.stderr)
+        return 1
+    try:
+        if args.command == "origin":
+            top = load_origin(args.config)
+            one = top.common
+            return uvloop.run(run.origin(one.me, top.bind, one.upward, one.keys, top.source, top.kept))
+        if args.command == "relay":
+            below = load_relay(args.config)
+            one, above = below.common, (below.origin,)
+            return uvloop.run(
+                run.relay(one.me, below.bind, one.rules, one.keys, above, below.source_host, one.upward)
+            )
+        row = load_follow(args.config, tuple(args.names))
+    except Unusable as error:
+        print(error, file=sys.stderr)
+        return 2
+    one = row.common
+    return uvloop.run(
+        run.follow(one.me, row.relays, row.names, one.rules, one.keys, row.source_host, args.json, args.once)
+    )
+
+
 def main(arguments: list[str] | None = None) -> int:
     args = parser().parse_args(arguments)
     if args.command == "fleet":
@@ -368,6 +416,8 @@
         return verdicts(args)
     if args.command in ("reload", "upgrade", "stop"):
         return command_running(args.command, args)
+    if args.command in ("origin", "relay", "follow"):
+        return delivery(args)
     if args.command == "demo":
         from flintlatch.standin.demo import run as run_demo
 
--- a/flintlatch/config/__init__.py
+++ b/flintlatch/config/__init__.py
@@ -9,6 +9,7 @@
 import tomllib
 from dataclasses import dataclass, replace
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from flintlatch.api import Part, Settings
 from flintlatch.config.reader import Problem, Reader, Unusable
@@ -16,6 +17,7 @@
     CONTROL,
     AccessLogTable,
     ClassRow,
+    DeliveryTable,
     DrainTable,
     FleetTable,
     HttpTable,
@@ -26,6 +28,7 @@
     TenantRow,
     read_access_log,
     read_class,
+    read_delivery,
     read_drain,
     read_fleet,
     read_http,
@@ -43,6 +46,9 @@
 from flintlatch.settings import Wire
 from flintlatch.verdicts.rows import Rules
 
+if TYPE_CHECKING:
+    from flintlatch.delivery.model import Rules as DeliveryRules
+
 __all__ = ["Config", "Problem", "Unusable", "beside", "find_control", "load", "parse", "read_file"]
 
 MOST_BYTES = 4 * 1024 * 1024  # of a file: tens of thousands of static nodes; more is not a configuration
@@ -65,6 +71,7 @@
     http: HttpTable | None  # None: the platform's protocol
     access_log: AccessLogTable | None
     peers: PeersTable | None  # None: this fleet knows of no other
+    delivery: DeliveryTable | None  # None: nothing is followed
     verdicts: Rules | None  # None: each judges servers by itself
     shared: tuple[Limit, ...]  # limits of all fleets together
     terms: Terms
@@ -177,6 +184,7 @@
         http=None,
         access_log=read_access_log(top.sub("access_log")) if "access_log" in raw else None,
         peers=None,
+        delivery=None,
         verdicts=read_verdicts(top.sub("verdicts")) if "verdicts" in raw else None,
         shared=(),
         terms=read_keepers(top.sub("keepers")),
@@ -194,6 +202,12 @@
         top.problem("keepers.voters", "", 'the fleets that vote, where a limit is "strict"')
     if "peers" in raw:
         config = replace(config, peers=read_peers(top.sub("peers"), config.fleet.name))
+    if "delivery" in raw:
+        delivery = read_delivery(top.sub("delivery"), config.fleet.name, config.nodes.zone, delivery_rules)
+        config = replace(config, delivery=delivery)
+    if ("delivery" in raw) != (config.nodes.source == "delivery"):
+        expected = 'a [delivery] table and nodes.source = "delivery" together, or neither'
+        top.problem("delivery", "a table" if "delivery" in raw else "", expected)
     if "http" in raw:
         names = tuple(row.name for row in config.classes) or ("",)
         config = replace(config, http=read_http(top.sub("http"), names))
@@ -213,6 +227,16 @@
     return config
 
 
+def delivery_rules(reader: Reader) -> DeliveryRules | None:
+    """[delivery.rules], which are also those of the processes that deliver."""
+    try:
+        from flintlatch.config.delivery import read_rules  # only where it is wanted
+    except ImportError as error:
+        reader.problem("", "a table", f"{error.name} installed: pip install flintlatch[peers]")
+        return None
+    return read_rules(reader)
+
+
 def load(path: str | Path) -> Config:
     """Read and check the file at `path`."""
     return parse(read_file(str(path)), str(path))
--- a/flintlatch/config/tables.py
+++ b/flintlatch/config/tables.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from ipaddress import ip_address, ip_network
+from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
 from flintlatch.api import Effect, RequestClass, Scope
@@ -11,12 +13,16 @@
 from flintlatch.limits.rows import MOST_HOLDERS, Limit, Terms, WhenCut
 from flintlatch.verdicts.rows import Rules
 
+if TYPE_CHECKING:
+    from flintlatch.delivery.model import Rules as DeliveryRules
+
 MOST_INSTANCES = 256  # processes on one machine: far beyond its cores, and far below its process table
 CONTROL_PATH_MOST = 100  # bytes: a Unix socket's path holds 108, less the suffix it is first made under
 MOST_PROXIES = 100_000  # before one set of nodes
 CONTROL = "flintlatch.sock"
 DAY_S = 86400.0
 REGION_MOST = 32  # characters
+SERVICE_MOST = 200  # bytes of an object's name in delivery
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,12 +85,13 @@
 class NodesTable:
     """[nodes]: where the list comes from, and the rules that hold for every node."""
 
-    source: str  # "registry", "static", "files" or "catalogue"
+    source: str  # "registry", "static", "files", "catalogue" or "delivery"
     registry: str  # host:port
     static: tuple[StaticNode, ...]
     files: tuple[str, ...]  # watched, as written; relative to the configuration's folder, by precedence
     catalogue: str  # URL of a Consul-compatible catalogue
     services: tuple[str, ...]  # of it, by precedence, behind the files
+    service: str  # the object that is followed by delivery
     token_file: str  # holds its ACL token; empty: none
     wait_s: float  # of a blocking query
     most_stale_s: float  # an answer from a server out of touch with its leader for longer says nothing
@@ -173,6 +180,26 @@
     word_s: float  # what the instances are told of it holds for so long
 
 
+@dataclass(frozen=True, slots=True)
+class RelayRow:
+    name: str
+    address: str  # host:port
+    region: str
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class DeliveryTable:
+    """[delivery]: where the nodes of `nodes.source = "delivery"` come from."""
+
+    relays: tuple[RelayRow, ...]
+    key_file: str  # as written; relative to the configuration's folder
+    name: str  # of this fleet among those that follow
+    region: str
+    zone: str
+    rules: DeliveryRules | None  # None: the usual ones
+
+
 @dataclass(frozen=True, slots=True)
 class TransferRow:
     """Of a [[class]]: how its bodies travel by [http]. None: as that table says."""
@@ -299,7 +326,7 @@
 
 
 def read_nodes(reader: Reader) -> NodesTable:
-    source = reader.choice("source", ("registry", "static", "files", "catalogue"))
+    source = reader.choice("source", ("registry", "static", "files", "catalogue", "delivery"))
     files = reader.items("files", 'paths such as ["nodes.json"]', least=1 if source == "files" else 0)
     for place, name in enumerate(files):
         if not isinstance(name, str) or not name or files.count(name) > 1:
@@ -317,6 +344,13 @@
         reader.problem("catalogue", repr(catalogue), "a URL that begins with http:// or https://")
     if source != "catalogue" and (catalogue or services):
         reader.problem("catalogue", repr(catalogue or services), f'none with source = "{source}"')
+    service = reader.text(
+        "service", None if source == "delivery" else "", 'the name of an object such as "service/answers"'
+    )
+    if len(service.encode()) > SERVICE_MOST:
+        reader.problem("service", f"{len(service.encode())} bytes", f"a name of at most {SERVICE_MOST}")
+    if service and source != "delivery":
+        reader.problem("service", repr(service), f'none with source = "{source}"')
     registry = ""
     static: tuple[StaticNode, ...] = ()
     if source == "registry" or "registry" in reader.table:
@@ -344,6 +378,7 @@
         files=tuple(name for name in files if isinstance(name, str)),
         catalogue=catalogue,
         services=tuple(name for name in services if isinstance(name, str)),
+        service=service,
         token_file=reader.text("token_file", ""),
         wait_s=reader.number("wait_s", 1, 600, 30),
         most_stale_s=reader.number("most_stale_s", 0, DAY_S, 10),
@@ -460,7 +495,7 @@
         advertise=where("advertise", advertise) if advertise else "",
         seeds=tuple(where(f"seeds[{place}]", seed) for place, seed in enumerate(seeds)),
         key_file=reader.text("key_file", None, "the path of a file with the fleets' key"),
-        region=reader.text("region", ""),
+        region=read_region(reader),
         period_s=reader.number("period_s", 0.05, 60, 1),
         ack_s=reader.number("ack_s", 0.01, 30, 0.3),
         suspicion=reader.number("suspicion", 0.5, 100, 4),
@@ -469,8 +504,6 @@
         hold_s=reader.number("hold_s", 0.1, DAY_S, 30),
         word_s=reader.number("word_s", 0.2, 600, 3),
     )
-    if len(table.region) > REGION_MOST:
-        reader.problem("region", shown(table.region), f"at most {REGION_MOST} characters")
     if table.ack_s >= table.period_s:
         reader.problem("ack_s", f"{table.ack_s:g}", f"below period_s, {table.period_s:g}")
     if table.forget_s <= 2 * table.sync_s:
@@ -480,6 +513,40 @@
     return table
 
 
+def read_relay(reader: Reader) -> RelayRow:
+    where = reader.text("address", None, 'an address such as "10.0.0.3:7950"')
+    where = address(reader, "address", where, "") if where else ""
+    if where.endswith(":0"):
+        reader.problem("address", repr(where), "a port from 1 to 65535")
+    row = RelayRow(reader.name("name"), where, read_region(reader), reader.text("zone", ""))
+    reader.done()
+    return row
+
+
+def read_region(reader: Reader) -> str:
+    region = reader.text("region", "")
+    if len(region) > REGION_MOST:
+        reader.problem("region", shown(region), f"at most {REGION_MOST} characters")
+    return region
+
+
+def read_delivery(
+    reader: Reader, fleet: str, zone: str, read_rules: Callable[[Reader], DeliveryRules | None]
+) -> DeliveryTable:
+    table = DeliveryTable(
+        relays=tuple(map(read_relay, reader.subs("relays", least=1))),
+        key_file=reader.text("key_file", None, "the path of a file with the key of delivery"),
+        name=reader.name("name", fleet),
+        region=read_region(reader),
+        zone=reader.text("zone", zone),
+        rules=read_rules(reader.sub("rules")) if "rules" in reader.table else None,
+    )
+    unique(reader, "relays.name", [relay.name for relay in table.relays])
+    unique(reader, "relays.address", [relay.address for relay in table.relays])
+    reader.done()
+    return table
+
+
 def read_limit(reader: Reader, tenants: tuple[str, ...], classes: tuple[str, ...]) -> Limit:
     limit = Limit(
         name=reader.name("name"),
--- a/flintlatch/delivery/demand.py
+++ b/flintlatch/delivery/demand.py
@@ -49,6 +49,7 @@
         self.used: OrderedDict[str, float] = OrderedDict()  # followed on demand, by last use
         self.held: set[str] = set()
         self.absent: OrderedDict[str, float] = OrderedDict()
+        self.missing: set[str] = set()  # of `always`: there is none until one arrives
         self.waiting: dict[str, dict[str, float]] = {}  # by object, requests with their deadlines
         self.waits = 0
         self.out: list[Action] = []
@@ -63,20 +64,21 @@
             self.used.move_to_end(name)
         if name in self.held:
             return Verdict.HELD
-        if now - self.absent.get(name, -ABSENT_S) < ABSENT_S:
+        if name in self.missing or name in self.absent and now - self.absent[name] < ABSENT_S:
             return Verdict.ABSENT
         if self.waits >= WAITING_MOST:
             return Verdict.FULL
         if name not in self.used and name not in self.always and not self._add(now, name):
             return Verdict.FULL
-        self.waiting.setdefault(name, {})[request] = deadline
-        self.waits += 1
+        requests = self.waiting.setdefault(name, {})
+        self.waits += request not in requests
+        requests[request] = deadline
         return Verdict.WAITS
 
     def _add(self, now: float, name: str) -> bool:
         if len(self.used) >= self.most:
-            oldest = next(iter(self.used))
-            if oldest in self.waiting:
+            oldest = next((one for one in self.used if one not in self.waiting), None)
+            if oldest is None:
                 return False
             self._drop(oldest)
         self.used[name] = now
@@ -91,6 +93,7 @@
     def arrived(self, name: str) -> None:
         """The object is here."""
         self.absent.pop(name, None)
+        self.missing.discard(name)
         if name in self.used or name in self.always:
             self.held.add(name)
         self._answer(name, True)
@@ -98,7 +101,9 @@
     def gone(self, now: float, name: str) -> None:
         """There is none, or no more."""
         self.held.discard(name)
-        if name not in self.always:
+        if name in self.always:
+            self.missing.add(name)
+        else:
             if name in self.used:
                 self._drop(name)
             self.absent.pop(name, None)
--- a/flintlatch/delivery/model.py
+++ b/flintlatch/delivery/model.py
@@ -17,6 +17,7 @@
 ITEM_BYTES = 12  # of an item beside its name and value: at most what MessagePack puts before both
 NAME_MOST, ITEM_NAME_MOST = 200, 200  # bytes
 ITEM_MOST = 16 * 1024  # bytes of one item's value
+OBJECT_MOST = 1024 * 1024  # bytes of one object's item names and values
 REVISION_MOST = 1 << 62
 
 
@@ -127,12 +128,15 @@
 
 
 class Pong(msgspec.Struct, frozen=True, array_like=True, tag=21):
-    """`current`: nothing of the subscriber's scope up to `revision` is still to be sent."""
+    """`age_ms`: of the relay's own state. `current`: nothing of the subscriber's scope up to `revision` is
+    still to be sent. `held_ms`: how long ago, at the most, what it holds was the origin's; below 0: unknown.
+    """
 
     number: int
     revision: int
     age_ms: int
     current: bool
+    held_ms: int = -1
 
 
 class LeftOut(msgspec.Struct, frozen=True, array_like=True, tag=22):
@@ -165,7 +169,7 @@
     most_names: int = 4096  # of one subscription
     most_sessions: int = 512  # of one relay
     part_bytes: int = 16 * 1024  # of one part's items
-    object_bytes: int = 1024 * 1024
+    object_bytes: int = OBJECT_MOST
     batch_bytes: int = 8 * 1024 * 1024  # that a subscriber stages
 
     def minute_bytes(self) -> float:
@@ -220,9 +224,16 @@
         items = sum(len(k.encode()) + len(v) + ITEM_BYTES for k, v in message.items.items())
         gone = sum(len(name.encode()) + 5 for name in message.removed)
         return FRAME_BYTES + len(message.name.encode()) + 30 + items + gone
-    if isinstance(message, LeftOut):
-        return FRAME_BYTES + 16 + sum(len(name.encode()) + 5 for name in message.names)
-    return FRAME_BYTES + 40
+    names: tuple[str, ...] = ()
+    if isinstance(message, LeftOut | Unsubscribe | Refused):
+        names = message.names
+    elif isinstance(message, Subscribe):
+        names = message.held + message.fresh
+    elif isinstance(message, Hello):
+        names = (message.name, message.region, message.zone)
+    elif isinstance(message, Welcome):
+        names = (message.name,)
+    return FRAME_BYTES + 40 + sum(len(name.encode()) + 5 for name in names)
 
 
 def rank(me: Place, relays: tuple[Place, ...]) -> tuple[Place, ...]:
--- a/flintlatch/delivery/relay.py
+++ b/flintlatch/delivery/relay.py
@@ -41,6 +41,9 @@
 TURN_BYTES = 256 * 1024  # sent in one step, of all subscribers: the loop is held for no longer
 QUIET = 4.0  # times the time of silence without a message after which a subscriber has gone
 CREDIT_MOST = 1 << 30
+LEAP = (
+    1 << 32
+)  # revisions that other relays may be ahead of the one that an origin hears first after a restart
 
 
 # Events
@@ -124,7 +127,9 @@
         self.dirty: dict[str, None] = {}  # names of which it may lack something, in their order
         self.fresh: set[str] = set()  # of those, the ones of which it holds nothing
         self.whole = False  # it lacks all
-        self.credit = 0
+        self.credit = 0  # no batch begins before there is some: all names of the first subscription are here
+        self.held_at: float | None = None  # a moment at which the state at `cut` was the origin's
+        self.planned_at: float | None = None  # the same of the batch that is on its way
         self.due = now  # no batch before
         self.plan: Iterator[FromRelay] | None = None
         self.next: FromRelay | None = None  # of the plan: made, and too large for the credit
@@ -137,7 +142,11 @@
 
 class Relay:
     """`age`: seconds since its store was surely the origin's; None: never yet. An `authority` has no relay
-    above it: where a relay holds more than it does, it was restarted, and goes on above that."""
+    above it: where a relay holds more than it does, it was restarted, and goes on above that. It serves
+    nobody before its first commit, which must be of all that it knows: it would empty the fleet. Its store
+    should start (`Store.restamp`) at a revision that no life before can have had, as one counted from the
+    time of day.
+    """
 
     def __init__(
         self,
@@ -218,7 +227,8 @@
         elif isinstance(message, Ping):
             age_ms = self._age_ms(now)
             revision = self.store.revision if session.current() else session.cut
-            self._send(session, Pong(message.number, revision, age_ms, session.current()))
+            held_ms = -1 if session.held_at is None else int((now - session.held_at) * 1000) + 1
+            self._send(session, Pong(message.number, revision, age_ms, session.current(), held_ms))
         elif isinstance(message, Credit):
             session.credit = min(CREDIT_MOST, session.credit + max(0, message.bytes))
             self.busy[session.number] = None
@@ -241,9 +251,12 @@
             self._count("a hello out of bounds")
             self._drop(session.number)
             return
-        if self.authority and hello.role == Role.RELAY and hello.held > self.store.revision:
-            self._go_on_above(now, hello.held)
-        if self.age(now) is None or hello.held > self.store.revision:
+        knows = self.age(now) is not None
+        if self.authority:
+            knows = bool(self.store.objects) or self.store.revision > self.store.gone_floor
+            if knows and hello.role == Role.RELAY and hello.held > self.store.revision:
+                self._go_on_above(hello.held)
+        if not knows or hello.held > self.store.revision:
             why = Why.BEHIND
         elif hello.everything and hello.role != Role.RELAY:
             why = Why.EVERYTHING
@@ -262,9 +275,10 @@
             self._find_lack(session)
             self.busy[session.number] = None
 
-    def _go_on_above(self, now: float, held: int) -> None:
-        self.store.restamp(held + 1)
-        self.out.append(Told(f"delivery: a relay holds revision {held}; going on from {held + 1}"))
+    def _go_on_above(self, held: int) -> None:
+        """Far above: another relay may hold more than this one, of a time that we know nothing of."""
+        self.store.restamp(held + LEAP)
+        self.out.append(Told(f"delivery: a relay holds revision {held}; going on from {held + LEAP}"))
         for session in self.sessions.values():
             if session.greeted:
                 self._find_lack(session)
@@ -332,12 +346,15 @@
         if revision != session.awaits:
             self._count("an answer to no batch")
             return
-        session.awaits, session.cut = None, revision
+        session.awaits, session.cut, session.held_at = None, revision, session.planned_at
         session.unproven.clear()
         session.due = now + self.rules.gather_s
         self.busy[session.number] = None
 
     def _refused(self, now: float, session: Session, message: Refused) -> None:
+        if session.plan is None and session.awaits is None:
+            self._count("an answer to no batch")
+            return
         self.counts["batches refused"] += 1
         if not 0 <= message.held <= self.store.revision:
             self._drop(session.number)
@@ -388,8 +405,10 @@
             if session is None or session.paused or session.awaits is not None:
                 continue
             if session.plan is None:
-                if now < session.due or not (session.dirty or session.whole):
+                if now < session.due or not (session.dirty or session.whole) or not session.credit:
                     continue
+                age = self.age(now)
+                session.planned_at = None if age is None else now - age
                 session.plan = self._plan(session)
             message = session.next or next(session.plan)
             size = size_of(message)
--- a/flintlatch/delivery/staging.py
+++ b/flintlatch/delivery/staging.py
@@ -1,8 +1,11 @@
-"""A batch on its way in: its parts wait here until the last has come and every object adds up."""
+"""A batch on its way in: its objects wait here until the last has come and every one adds up.
+
+Each object is made as its last part comes, so that a large batch's end is no long step.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Container
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 
 from flintlatch.delivery.model import (
@@ -29,6 +32,8 @@
 
 @dataclass(slots=True)
 class Gathered:
+    """Of one object. `made` from `held` once its last part is here, or why that can't be."""
+
     kind: Kind
     items: dict[str, bytes]
     removed: list[str]
@@ -36,6 +41,10 @@
     count: int = 0
     checksum: int = 0
     size: int = 0
+    held: Object | None = None
+    made: Object | None = None
+    change: ObjectChange | None = None
+    torn: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +59,7 @@
 class Staging:
     begin: Begin
     rules: Rules
+    store: Store
     gathered: dict[str, Gathered] = field(default_factory=dict)
     open_name: str = ""  # of an object of which a part is still to come
     parts: int = 0
@@ -66,6 +76,8 @@
             raise Torn("an object's name out of bounds")
         if part.kind not in (Kind.SNAPSHOT, Kind.DELTA, Kind.GONE):
             raise Torn("a part of unknown kind", (name,))
+        if self.begin.whole and part.kind != Kind.SNAPSHOT:  # then what it does not name is not gone
+            raise Torn("a whole batch with less than whole objects")
         if self.open_name and name != self.open_name or not self.open_name and name in self.gathered:
             raise Torn("parts out of order", (name,))
         if any(
@@ -84,6 +96,8 @@
         if one.size > 2 * self.rules.object_bytes:
             raise Torn("an object over the size bound", (name,))
         self.open_name = name if part.more else ""
+        if not part.more:
+            self._make(name, one)
 
     def drop_unknown(self, followed: Container[str]) -> int:
         """What nobody here named, or names no more; how many."""
@@ -92,7 +106,13 @@
             del self.gathered[name]
         return len(unknown)
 
-    def end(self, end: End, store: Store) -> Taken:
+    def drop_left(self, names: Iterable[str]) -> None:
+        """Deltas of objects that were not followed for a while, and of which nothing is held now."""
+        for name in names:
+            if name in self.gathered and self.gathered[name].kind is Kind.DELTA:
+                del self.gathered[name]
+
+    def end(self, end: End) -> Taken:
         """Raises Torn. Nothing of the store is changed here."""
         if end.to != self.begin.to or end.parts != self.parts or self.open_name:
             raise Torn("a batch without all of its parts")
@@ -100,30 +120,39 @@
         changes: list[ObjectChange] = []
         torn: dict[str, str] = {}
         for name, one in sorted(self.gathered.items(), key=lambda pair: pair[1].version):
-            held = store.objects.get(name)
-            if one.kind is Kind.GONE:
-                objects.append((name, None))
-                if held is not None:
-                    changes.append(ObjectChange(name, removed=tuple(held.items), gone=True))
-                continue
-            try:
-                made = self._made(held, one)
-            except Torn as fault:
-                torn[name] = fault.why
+            if one.held is not self.store.objects.get(name):  # left, and followed anew, since it was made
+                self._make(name, one)
+            if one.torn:
+                torn[name] = one.torn
                 continue
-            objects.append((name, made))
-            change = compare(held, one, name)
-            if change.items or change.removed or held is None:
-                changes.append(change)
+            objects.append((name, one.made))
+            if one.change is not None:
+                changes.append(one.change)
         if torn:
             raise Torn(next(iter(torn.values())), tuple(torn))
         if self.begin.whole:
-            for name, held in store.objects.items():
+            for name, held in self.store.objects.items():
                 if name not in self.gathered:
                     objects.append((name, None))
                     changes.append(ObjectChange(name, removed=tuple(held.items), gone=True))
         return Taken(objects, tuple(changes))
 
+    def _make(self, name: str, one: Gathered) -> None:
+        held = one.held = self.store.objects.get(name)
+        one.torn, one.made, one.change = "", None, None
+        if one.kind is Kind.GONE:
+            if held is not None:
+                one.change = ObjectChange(name, removed=tuple(held.items), gone=True)
+            return
+        try:
+            one.made = self._made(held, one)
+        except Torn as fault:
+            one.torn = fault.why
+            return
+        change = compare(held, one, name)
+        if change.items or change.removed or held is None:
+            one.change = change
+
     def _made(self, held: Object | None, one: Gathered) -> Object:
         version = min(one.version, self.begin.to)
         if one.kind is Kind.SNAPSHOT:
--- a/flintlatch/delivery/store.py
+++ b/flintlatch/delivery/store.py
@@ -11,7 +11,17 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
-from flintlatch.delivery.model import ITEM_BYTES, Kind, ObjectChange, PartOf, digest
+from flintlatch.delivery.model import (
+    ITEM_BYTES,
+    ITEM_MOST,
+    ITEM_NAME_MOST,
+    NAME_MOST,
+    OBJECT_MOST,
+    Kind,
+    ObjectChange,
+    PartOf,
+    digest,
+)
 
 TOMBSTONES_LEAST = 64  # items taken away that an object remembers, or as many as it has items
 GONE_MOST = 65_536  # objects that are no more, remembered for those who follow everything
@@ -22,6 +32,10 @@
     """A commit that is not above the revision held."""
 
 
+class OutOfBounds(Exception):
+    """A commit with an object that every subscriber would refuse."""
+
+
 @dataclass(frozen=True, slots=True)
 class Object:
     """`stamps` and `removed` are ordered by stamp. Nothing is known of changes before `floor`."""
@@ -41,7 +55,7 @@
             value = items.pop(name, None)
             if value is not None:
                 checksum -= digest(name, value)
-                size -= len(name) + len(value)
+                size -= len(name.encode()) + len(value)
             stamps.pop(name, None)
             removed.pop(name, None)
             removed[name] = revision
@@ -49,10 +63,10 @@
             before = items.get(name)
             if before is not None:
                 checksum -= digest(name, before)
-                size -= len(name) + len(before)
+                size -= len(name.encode()) + len(before)
             items[name] = value
             checksum += digest(name, value)
-            size += len(name) + len(value)
+            size += len(name.encode()) + len(value)
             stamps.pop(name, None)
             stamps[name] = revision
             removed.pop(name, None)
@@ -91,16 +105,23 @@
         removed = () if change is None else change.removed
         count, checksum = len(self.items), self.checksum
         chunk: dict[str, bytes] = {}
-        size = sum(len(r) + 5 for r in removed)
-        gone: tuple[str, ...] = removed
+        gone: list[str] = []
+        size = 0
+        for item in removed:  # a part must fit into the credit that can be had at once
+            each = len(item.encode()) + 5
+            if gone and size + each > part_bytes:
+                yield PartOf(name, kind, self.version, {}, tuple(gone), count, checksum, True)
+                size, gone = 0, []
+            gone.append(item)
+            size += each
         for item, value in left.items():
-            each = len(item) + len(value) + ITEM_BYTES
+            each = len(item.encode()) + len(value) + ITEM_BYTES
             if (chunk or gone) and size + each > part_bytes:
-                yield PartOf(name, kind, self.version, chunk, gone, count, checksum, True)
-                chunk, size, gone = {}, 0, ()
+                yield PartOf(name, kind, self.version, chunk, tuple(gone), count, checksum, True)
+                chunk, size, gone = {}, 0, []
             chunk[item] = value
             size += each
-        yield PartOf(name, kind, self.version, chunk, gone, count, checksum, False)
+        yield PartOf(name, kind, self.version, chunk, tuple(gone), count, checksum, False)
 
 
 def difference(held: Object | None, items: Mapping[str, bytes], name: str) -> ObjectChange:
@@ -111,6 +132,19 @@
     return ObjectChange(name, changed, tuple(k for k in held.items if k not in items))
 
 
+def check(change: ObjectChange, made: Object | None) -> None:
+    """Raises OutOfBounds."""
+    if not 0 < len(change.name.encode()) <= NAME_MOST:
+        raise OutOfBounds(f"an object's name of {len(change.name.encode())} bytes, at most {NAME_MOST}")
+    for name, value in change.items.items():
+        if not 0 < len(name.encode()) <= ITEM_NAME_MOST:
+            raise OutOfBounds(f"{change.name}: an item's name of {len(name.encode())} bytes")
+        if len(value) > ITEM_MOST:
+            raise OutOfBounds(f"{change.name}: {name} has {len(value)} bytes, at most {ITEM_MOST}")
+    if made is not None and made.size > OBJECT_MOST:
+        raise OutOfBounds(f"{change.name} has {made.size} bytes, at most {OBJECT_MOST}")
+
+
 class Store:
     def __init__(self) -> None:
         self.revision = 0
@@ -121,14 +155,15 @@
 
     def commit(self, changes: Iterable[ObjectChange], revision: int = 0) -> list[str]:
         """All of it at once; the names that have changed. Without a revision it is the next one. Raises
-        OutOfOrder."""
+        OutOfOrder and OutOfBounds, and then nothing is changed."""
         to = revision or self.revision + 1
-        if to < self.revision:
+        if to <= self.revision:
             raise OutOfOrder(f"a commit of revision {to} after {self.revision}")
         new: dict[str, Object | None] = {}
         for change in changes:
             held = new.get(change.name, self.objects.get(change.name))
             new[change.name] = None if change.gone else (held or Object(to, to)).changed(change, to)
+            check(change, new[change.name])
         return self.put(new.items(), to)
 
     def replace(self, wanted: Mapping[str, Mapping[str, bytes]]) -> list[str]:
@@ -152,7 +187,8 @@
                 self.objects.pop(name, None)
                 self.objects[name] = one
                 self.gone.pop(name, None)
-            elif self.objects.pop(name, None) is not None:
+            else:  # also where it was never held: others held it, and may ask here what became of it
+                self.objects.pop(name, None)
                 self.gone.pop(name, None)
                 self.gone[name] = revision
                 if len(self.gone) > GONE_MOST:
--- a/flintlatch/delivery/subscriber.py
+++ b/flintlatch/delivery/subscriber.py
@@ -13,6 +13,8 @@
 from typing import NamedTuple
 
 from flintlatch.delivery.model import (
+    ITEM_MOST,
+    REVISION_MOST,
     Applied,
     Begin,
     Credit,
@@ -46,6 +48,7 @@
 PINGS_KEPT = 8
 NAMES_A_MESSAGE = 256
 CREDIT_LEAST = 1024  # bytes: less is not worth a message
+CONTROL_BYTES = 2048  # of tokens that are never granted: answers to pings and the like come without credit
 
 
 # Events
@@ -143,6 +146,9 @@
         self.refusing = False  # what comes of a batch refused, up to its end
         self.refusals = 0  # on end
         self.as_of = now  # a moment at which the relay's own state was the origin's
+        self.moved = now  # when it last sent of a batch, or had nothing to send
+        self.applied = -1  # the last batch that was taken
+        self.left: dict[str, float] = {}  # names not followed any more, of which a delta may be on its way
 
 
 class Subscriber:
@@ -160,6 +166,7 @@
         self.choices = rank(me, tuple(relays))
         self.store = Store()
         self.names: dict[str, bool] = {}  # followed; whether what is held of it is of the store's revision
+        self.doubtful: set[str] = set()  # which did not add up: the next relay sends them whole
         self.main: Session | None = None
         self.trial: Session | None = None  # another relay that is tried while the main one lasts
         self.choice = 0  # of the main session or of the next attempt
@@ -204,7 +211,7 @@
         elif isinstance(event, Follow):
             self._follow(event.names)
         else:
-            self._unfollow(event.names)
+            self._unfollow(now, event.names)
         return self.out
 
     def _session(self, number: int) -> Session | None:
@@ -233,11 +240,13 @@
         if fresh and self.main is not None and self.main.state is State.LIVE:
             self._subscribe(self.main, [], fresh)
 
-    def _unfollow(self, names: tuple[str, ...]) -> None:
+    def _unfollow(self, now: float, names: tuple[str, ...]) -> None:
         mine = tuple(n for n in names if self.names.pop(n, None) is not None)
         for name in mine:
             self.store.forget(name)
+            self.doubtful.discard(name)
         if mine and self.main is not None and self.main.state is State.LIVE:
+            self.main.left.update((name, now) for name in mine)
             self._send(self.main, Unsubscribe(mine))
 
     def _subscribe(self, session: Session, held: list[str], fresh: list[str]) -> None:
@@ -259,6 +268,8 @@
                 continue
             if session.pings and now - next(iter(session.pings.values())) > rules.silence_s:
                 self._leave(now, session, "fell silent")
+            elif now - session.moved > 2 * rules.stale_s and session is self.main:
+                self._leave(now, session, "sends nothing")
             elif now - session.pinged >= rules.ping_s and len(session.pings) < PINGS_KEPT:
                 self._ping(now, session)
         if self.main is None and now >= self.next_at and self.choices:
@@ -266,12 +277,17 @@
         elif self.main is not None and self.main.state is State.LIVE and self.trial is None:
             self._try_another(now)
         if self.main is not None and self.main.state is State.LIVE:
-            self._grant(self.main)
-        if not self.told_stale and self.age(now) > 2 * rules.stale_s:
+            self._grant(now, self.main)
+        if not self.told_stale and self.age(now) > 2 * rules.stale_s and not self._loading(now):
             self.told_stale = True
             held = f"serving on with revision {self.store.revision}" if self.as_of >= 0 else "nothing is held"
             self.out.append(Told(f"delivery: no relay with news for {self.age(now):.0f} s; {held}"))
 
+    def _loading(self, now: float) -> bool:
+        """What is held is old, but the relay's state is young and on its way."""
+        main = self.main
+        return main is not None and main.state is State.LIVE and now - main.as_of <= 2 * self.rules.stale_s
+
     def _try_another(self, now: float) -> None:
         """A better choice in turn, or any other where this relay's own state is old."""
         main = self.main
@@ -303,10 +319,10 @@
         if session is None or session.state is not State.OPENING:
             return
         session.state = State.GREETING
-        me = self.me
-        self._send(
-            session, Hello(me.name, self.role, me.region, me.zone, self.store.revision, self.everything)
-        )
+        me, held = self.me, self.store.revision
+        if self.everything and len(self.doubtful) > NAMES_A_MESSAGE:
+            held = 0
+        self._send(session, Hello(me.name, self.role, me.region, me.zone, held, self.everything))
 
     def _leave(self, now: float, session: Session, why: str) -> None:
         self.out.append(Disconnect(session.number))
@@ -344,13 +360,16 @@
 
     def _fill(self, now: float) -> None:
         rules = self.rules
-        self.tokens = min(rules.burst, self.tokens + (now - self.filled) * rules.rate)
+        full = rules.burst - self.granted  # what is granted may come later than what is spared
+        self.tokens = min(full, self.tokens + (now - self.filled) * rules.rate)
         self.filled = now
 
-    def _grant(self, session: Session) -> None:
+    def _grant(self, now: float, session: Session) -> None:
         """All that may come within the bound, up to a window: what one that is lost leaves unsent is lost."""
-        spare = int(min(self.tokens, self.rules.window - self.granted))
+        spare = int(min(self.tokens - CONTROL_BYTES, self.rules.window - self.granted))
         if spare >= CREDIT_LEAST:
+            if self.granted < self.rules.part_bytes + ITEM_MOST:  # until now it may have had too little
+                session.moved = now
             self.tokens -= spare
             self.granted += spare
             self._send(session, Credit(spare))
@@ -362,6 +381,9 @@
         if session is None:
             self.counts["of a session that is over"] += 1
             return
+        if not isinstance(message, Begin | PartOf | End):
+            self._fill(now)
+            self.tokens -= size_of(message)
         if session.state is not State.LIVE:
             if isinstance(message, Welcome) and session.state is State.GREETING:
                 self._welcome(now, session, message)
@@ -371,8 +393,9 @@
                 if why == "everything":
                     self._tell_once("delivery: a relay does not let us follow everything")
                 self._leave(now, session, why)
-            return
-        if session is not self.main:
+            else:
+                self._refuse_count("a message before the welcome")
+                self._leave(now, session, "out of order")
             return
         if isinstance(message, Begin | PartOf | End):
             size = size_of(message)
@@ -380,7 +403,7 @@
             self._batch(now, session, message, size)
             if self.granted < self.rules.window / 2 and self.main is session:
                 self._fill(now)
-                self._grant(session)
+                self._grant(now, session)
         elif isinstance(message, Pong):
             self._pong(now, session, message)
         elif isinstance(message, LeftOut):
@@ -388,6 +411,7 @@
             for name in message.names:
                 self.names.pop(name, None)
                 self.store.forget(name)
+                self.doubtful.discard(name)
             self.out.append(Absent(message.names))
 
     def _welcome(self, now: float, session: Session, welcome: Welcome) -> None:
@@ -404,17 +428,17 @@
             self.trial = None
             self.out.append(Disconnect(before.number))
             self.granted = 0.0
-        session.state = State.LIVE
+        session.state, session.moved = State.LIVE, now
         session.as_of = session.began - welcome.age_ms / 1000
         self.main = session
         self.choice, self.tried = self.choices.index(session.relay), 0
         self.trial_at = now + self._return_s()
         if not self.everything:
-            held = [n for n, known in self.names.items() if known]
-            fresh = [n for n, known in self.names.items() if not known]
+            fresh = [n for n, known in self.names.items() if not known or n in self.doubtful]
+            held = [n for n, known in self.names.items() if known and n not in self.doubtful]
             self._subscribe(session, held, fresh)
         self._fill(now)
-        self._grant(session)
+        self._grant(now, session)
         self._ping(now, session)
 
     def _pong(self, now: float, session: Session, pong: Pong) -> None:
@@ -424,27 +448,43 @@
         if asked is None:
             return
         session.as_of = max(session.as_of, asked - pong.age_ms / 1000)
-        if not pong.current or session.staging is not None or session.refusing:
+        if pong.held_ms >= 0 and pong.revision <= self.store.revision:
+            self._known(now, asked - pong.held_ms / 1000)
+        if not pong.current:
             return
+        session.moved = now
+        session.left = {name: at for name, at in session.left.items() if at >= asked}
+        if session.staging is not None:  # it has nothing more to send: a Begin that was none
+            self._refuse_count("a batch without its end")
+        session.staging, session.refusing = None, False
         if pong.revision < self.store.revision:
             self._refuse_count("an older revision")
             self._leave(now, session, "went back")
             return
         self.store.revision = pong.revision
-        self.as_of = max(self.as_of, asked - pong.age_ms / 1000)
+        self._known(now, asked - pong.age_ms / 1000)
+
+    def _known(self, now: float, as_of: float) -> None:
+        """What is held was the origin's at that moment, or is newer."""
+        self.as_of = max(self.as_of, as_of)
         age = self.age(now)
         if self.told_stale and age <= self.rules.stale_s:
             self.told_stale = False
             self.out.append(Told(f"delivery: revision {self.store.revision} again {age:.1f} s old at most"))
 
     def _batch(self, now: float, session: Session, message: Begin | PartOf | End, size: int) -> None:
+        session.moved = now
         try:
             if isinstance(message, Begin):
                 self._begin(session, message)
             elif session.refusing:
                 session.refusing = not isinstance(message, End)
             elif session.staging is None:
-                raise Torn("a part of no batch")
+                # No part is answered: the batch's end is, unless it is one that was taken.
+                if isinstance(message, PartOf) or message.to == session.applied:
+                    self._refuse_count("a part of no batch")
+                else:
+                    raise Torn("an end of no batch")
             elif isinstance(message, PartOf):
                 session.staging.add(message, size)
             else:
@@ -459,22 +499,26 @@
         session.refusing = False
         if begin.to < self.store.revision:
             raise Torn("an older revision")
+        if begin.to >= REVISION_MOST:
+            raise Torn("a revision out of bounds")
         if begin.base > self.store.revision:
             raise Torn("a gap")
         if begin.whole and not self.everything:
             raise Torn("a whole batch for a part")
-        session.staging = Staging(begin, self.rules)
+        session.staging = Staging(begin, self.rules, self.store)
 
     def _end(self, session: Session, staging: Staging, end: End) -> None:
         if not self.everything:  # names that are followed no more, or that nobody named
             self.counts["not followed"] += staging.drop_unknown(self.names)
-        taken = staging.end(end, self.store)
-        session.staging = None
+            staging.drop_left([name for name in session.left if not self.names.get(name, True)])
+        taken = staging.end(end)
+        session.staging, session.applied = None, end.to
         session.refusals = 0
         self.store.put(taken.objects, end.to)
         if staging.begin.whole:  # of what was gone before, this relay has said nothing
             self.store.gone.clear()
             self.store.gone_floor = end.to
+        self.doubtful.difference_update(name for name, _ in taken.objects)
         absent = []
         if not self.everything:
             for name, one in taken.objects:
@@ -497,7 +541,9 @@
         session.staging = None
         session.refusing = not isinstance(message, End)
         session.refusals += 1
-        if session.refusals >= REFUSALS_MOST:
+        known = self.store.objects if self.everything else self.names
+        self.doubtful.update(name for name in torn.names if name in known)
+        if session.refusals >= REFUSALS_MOST or len(torn.names) > NAMES_A_MESSAGE:
             self._leave(now, session, "refused")
             return
         self._send(session, Refused(self.store.revision, to, torn.names))
--- a/flintlatch/lab/delivery.py
+++ b/flintlatch/lab/delivery.py
@@ -87,9 +87,12 @@
 
 
 class Origin(Host):
-    def __init__(self, lab: Lab, place: Place, rules: Rules) -> None:
+    """`first`: the revision at which it starts; else, by the clock, one above that of any life before."""
+
+    def __init__(self, lab: Lab, place: Place, rules: Rules, first: int | None = None) -> None:
         super().__init__(lab, place)
         self.store = Store()
+        self.store.restamp(int(lab.engine.now * 1000) if first is None else first)
         self.relay = relay.Relay(place.name, self.store, rules, lambda now: 0.0, authority=True)
 
     def commit(self, changes: Iterable[ObjectChange]) -> int:
@@ -179,8 +182,8 @@
 
         self.engine.after(offset, tick)
 
-    def origin(self, place: Place, rules: Rules = RELAY_RULES) -> Origin:
-        host = Origin(self, place, rules)
+    def origin(self, place: Place, rules: Rules = RELAY_RULES, first: int | None = None) -> Origin:
+        host = Origin(self, place, rules, first)
         self.add(host)
         return host
 
@@ -215,6 +218,17 @@
         for what in buffer:
             what()
 
+    def reset(self, stream: Stream) -> None:
+        """The connection is lost to both sides, at once."""
+        stream.open = False
+        below, above = self.hosts[stream.below], self.hosts[stream.above]
+        if below.above.get(stream.below_number) is stream:
+            del below.above[stream.below_number]
+            below.later(lambda: below.from_above(subscriber.Closed(stream.below_number)))
+        if above.below.get(stream.above_number) is stream:
+            del above.below[stream.above_number]
+            above.later(lambda: above.from_below(relay.Closed(stream.above_number)))
+
     def cut(self, one: Iterable[str], other: Iterable[str], both: bool = True) -> None:
         others = tuple(other)
         for a in one:
--- a/tests/config/test_config.py
+++ b/tests/config/test_config.py
@@ -4,6 +4,7 @@
 
 import tomllib
 from collections.abc import Iterator
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +13,8 @@
 from flintlatch.api import Effect, Scope
 from flintlatch.cli import main
 from flintlatch.config import Unusable, load, parse
+from flintlatch.config.tables import SERVICE_MOST, RelayRow
+from flintlatch.delivery.model import NAME_MOST, Rules
 from flintlatch.standin.rig import toml
 
 EXAMPLE = Path(__file__).parent.parent.parent / "deploy" / "fleet.toml"
@@ -253,3 +256,106 @@
     assert any(
         "limit.name: found 'school', expected each name once" in one for one in problems(STATIC + twice)
     )
+
+
+DELIVERY = """
+[fleet]
+name = "t"
+listen = ["127.0.0.1:0"]
+[nodes]
+source = "delivery"
+service = "service/answers"
+zones = ["a", "b"]
+zone = "b"
+[delivery]
+key_file = "delivery.key"
+region = "north"
+relays = [{ name = "r1", address = "10.0.0.3:7950", region = "north", zone = "a" }]
+[[class]]
+name = "buy"
+aim_ms = 100
+deadline_ms = 200
+"""
+RELAY = '{ name = "r1", address = "10.0.0.3:7950", region = "north", zone = "a" }'
+
+
+def test_delivery_is_read_with_the_fleets_name_and_zone() -> None:
+    config = parse(DELIVERY, "f.toml")
+    table = config.delivery
+    assert table is not None and config.nodes.service == "service/answers"
+    assert (table.name, table.region, table.zone, table.key_file) == ("t", "north", "b", "delivery.key")
+    assert table.relays == (RelayRow("r1", "10.0.0.3:7950", "north", "a"),)
+    rows = '[[delivery.relays]]\nname = "r1"\naddress = "[::1]:7950"\n'
+    several = parse(DELIVERY.replace(f"relays = [{RELAY}]\n", 'name = "me"\nzone = "c"\n') + rows, "f.toml")
+    assert several.delivery is not None and several.delivery.relays == (RelayRow("r1", "[::1]:7950", "", ""),)
+    assert (several.delivery.name, several.delivery.zone) == ("me", "c")
+    assert table.rules is None
+    quick = parse(DELIVERY.replace("relays =", "rules = { stale_s = 1, ping_s = 0.5 }\nrelays ="), "f.toml")
+    assert quick.delivery is not None and quick.delivery.rules == replace(Rules(), stale_s=1.0, ping_s=0.5)
+    assert SERVICE_MOST == NAME_MOST  # said twice, as a configuration loads nothing of delivery
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "words"),
+    [
+        ('service = "service/answers"\n', "", "nodes.service: missing, expected the name of an object such"),
+        ("service/answers", "s" * 201, "nodes.service: found 201 bytes, expected a name of at most 200"),
+        (
+            'service = "service/answers"',
+            "service = 3",
+            "nodes.service: found 3, expected the name of an object",
+        ),
+        ('source = "delivery"', 'source = "files"\nfiles = ["n"]', "nodes.service: found 'service/answers'"),
+        ('source = "delivery"', 'source = "delivery"\nfiles = ["n.json"]', "nodes.files: found 1 paths"),
+        (
+            'source = "delivery"',
+            'source = "files"\nfiles = ["n"]',
+            "delivery: found a table, expected a [del",
+        ),
+        ('key_file = "delivery.key"\n', "", "delivery.key_file: missing, expected the path of a file"),
+        ('region = "north"\n', f'region = "{"x" * 33}"\n', "delivery.region: found 'xxx"),
+        ('region = "north"\n', 'name = "a b"\n', "delivery.name: found 'a b', expected a name of 1 to 63"),
+        (
+            'region = "north"\n',
+            "colour = 3\n",
+            "delivery.colour: found 3, expected no such key (known here: ",
+        ),
+        (f"[{RELAY}]", "[]", "delivery.relays: found [], expected [[delivery.relays]] tables, at least 1"),
+        (f"relays = [{RELAY}]", "", "delivery.relays: missing, expected [[delivery.relays]] tables"),
+        (f"[{RELAY}]", '["10.0.0.3:7950"]', "delivery.relays[0]: found '10.0.0.3:7950', expected a table"),
+        (RELAY, f"{RELAY}, {RELAY}", "delivery.relays.name: found 'r1', expected each name once"),
+        (RELAY, f"{RELAY}, {RELAY}", "delivery.relays.address: found '10.0.0.3:7950', expected each address"),
+        (
+            '"10.0.0.3:7950"',
+            '"relay:7950"',
+            "delivery.relays[0].address: found 'relay:7950', expected an add",
+        ),
+        (
+            '"10.0.0.3:7950"',
+            '"10.0.0.3:0"',
+            "delivery.relays[0].address: found '10.0.0.3:0', expected a port",
+        ),
+        (', address = "10.0.0.3:7950"', "", "delivery.relays[0].address: missing, expected an address such"),
+        ('{ name = "r1", ', "{ ", "delivery.relays[0].name: missing, expected a name of 1 to 63"),
+        (
+            "relays =",
+            "rules = { stale_s = 0 }\nrelays =",
+            "delivery.rules.stale_s: found 0, expected a number",
+        ),
+        ("relays =", "rules = { pace = 1 }\nrelays =", "delivery.rules.pace: found 1, expected no such key"),
+        ("relays =", "rules = 3\nrelays =", "delivery.rules: found 3, expected a table"),
+        ('zone = "a" }', "zone = 3 }", "delivery.relays[0].zone: found 3, expected text"),
+        ('zone = "a" }', 'region2 = "x" }', "delivery.relays[0].region2: found 'x', expected no such key"),
+    ],
+)
+def test_each_fault_in_delivery_is_named(old: str, new: str, words: str) -> None:
+    assert old in DELIVERY
+    found = problems(DELIVERY.replace(old, new, 1))
+    assert any(words in one for one in found), found
+
+
+def test_a_source_by_delivery_needs_its_table() -> None:
+    i, j = DELIVERY.index("[delivery]"), DELIVERY.index("[[class]]")
+    (found,) = problems(DELIVERY[:i] + DELIVERY[j:])
+    expected = 'a [delivery] table and nodes.source = "delivery" together, or neither'
+    assert found == f"f.toml: delivery: missing, expected {expected}"
--- /dev/null
+++ b/tests/delivery/test_store.py
@@ -0,0 +1,405 @@
+"""Objects by revision: what has changed since any older one, in parts, taken whole or refused."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from msgspec.structs import replace
+
+from flintlatch.delivery.model import (
+    ITEM_MOST,
+    NAME_MOST,
+    OBJECT_MOST,
+    Begin,
+    End,
+    Kind,
+    ObjectChange,
+    PartOf,
+    Place,
+    Rules,
+    digest,
+    rank,
+    size_of,
+)
+from flintlatch.delivery.staging import Staging, Taken, Torn
+from flintlatch.delivery.store import (
+    GONE_MOST,
+    TOMBSTONES_LEAST,
+    Object,
+    OutOfBounds,
+    OutOfOrder,
+    Store,
+)
+
+State = dict[str, dict[str, bytes]]
+
+
+def state_of(store: Store) -> State:
+    return {name: one.items for name, one in store.objects.items()}
+
+
+def sent(upper: Store, names: list[str], base: int | None, part_bytes: int = 16384) -> list[PartOf]:
+    out: list[PartOf] = []
+    for name in names:
+        one = upper.objects.get(name)
+        if one is None:
+            out.append(PartOf(name, Kind.GONE, upper.revision, {}, (), 0, 0, False))
+        else:
+            out += one.parts(name, base, part_bytes)
+    return out
+
+
+def take(lower: Store, parts: list[PartOf], to: int, whole: bool = False) -> Taken:
+    staging = Staging(Begin(lower.revision, to, whole), Rules(), lower)
+    for part in parts:
+        staging.add(part, size_of(part))
+    taken = staging.end(End(to, len(parts)))
+    lower.put(taken.objects, to)
+    return taken
+
+
+edits = st.lists(
+    st.tuples(
+        st.sampled_from("abc"),
+        st.sampled_from(("put", "put", "take", "gone")),
+        st.integers(0, 90),
+        st.binary(max_size=3),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+def change_of(name: str, what: str, item: int, value: bytes) -> ObjectChange:
+    if what == "gone":
+        return ObjectChange(name, gone=True)
+    if what == "take":
+        return ObjectChange(name, removed=tuple(f"{n}" for n in range(item)))
+    return ObjectChange(name, {f"{n}": value for n in range(item)})
+
+
+@given(st.lists(edits, min_size=1, max_size=12), st.integers(60, 400))
+@settings(max_examples=80, deadline=None, derandomize=True, print_blob=True)
+def test_whoever_holds_an_older_revision_comes_to_the_newest(
+    commits: list[list[tuple[str, str, int, bytes]]], part_bytes: int
+) -> None:
+    """From each revision on, straight and by way of another store that itself jumped."""
+    upper = Store()
+    between = Store()
+    history: list[tuple[int, Store]] = []
+    for n, commit in enumerate(commits):
+        model = {name: dict(items) for name, items in state_of(upper).items()}
+        for edit in commit:
+            change = change_of(*edit)
+            if change.gone:
+                model.pop(change.name, None)
+                continue
+            items = model.setdefault(change.name, {})
+            for name in change.removed:
+                items.pop(name, None)
+            items.update(change.items)
+        upper.commit([change_of(*edit) for edit in commit])
+        assert state_of(upper) == model
+        for one in upper.objects.values():
+            assert one.checksum == sum(digest(k, v) for k, v in one.items.items()) % 2**64
+            assert one.size == sum(len(k) + len(v) for k, v in one.items.items())
+            assert len(one.removed) <= max(TOMBSTONES_LEAST, len(one.items))
+        if n % 3 == 0:
+            whole = not between.revision
+            names = list(upper.objects) if whole else upper.newer(between.revision)
+            take(
+                between,
+                sent(upper, names, None if whole else between.revision, part_bytes),
+                upper.revision,
+                whole,
+            )
+            if whole:
+                between.gone_floor = upper.revision
+            assert state_of(between) == model
+        kept = Store()
+        kept.objects, kept.revision, kept.latest = dict(upper.objects), upper.revision, upper.latest
+        history.append((upper.revision, kept))
+    for above in (upper, between):
+        for revision, old in history:
+            if revision > above.revision:
+                continue
+            lower = Store()
+            lower.objects, lower.revision, lower.latest = dict(old.objects), revision, old.latest
+            names = [name for name in "abc" if above.changed_since(name, revision)]
+            parts = sent(above, names, revision, part_bytes)
+            take(lower, parts, above.revision)
+            assert state_of(lower) == state_of(above)
+
+
+@given(st.lists(edits, min_size=2, max_size=8))
+@settings(max_examples=60, deadline=None, derandomize=True, print_blob=True)
+def test_the_changes_told_are_just_what_is_new(commits: list[list[tuple[str, str, int, bytes]]]) -> None:
+    upper, lower = Store(), Store()
+    mirror: State = {}
+    for commit in commits:
+        upper.commit([change_of(*edit) for edit in commit])
+        names = [name for name in "abc" if upper.changed_since(name, lower.revision)]
+        for change in take(lower, sent(upper, names, lower.revision), upper.revision).changes:
+            if change.gone:
+                del mirror[change.name]
+                continue
+            items = mirror.setdefault(change.name, {})
+            for name in change.removed:
+                del items[name]
+            assert all(items.get(k) != v for k, v in change.items.items())
+            items.update(change.items)
+        assert mirror == state_of(upper)
+
+
+# Parts
+
+
+def test_no_part_is_larger_than_its_bound_allows() -> None:
+    """Names of many bytes a character, and as many taken away as put."""
+    store = Store()
+    old = [f"\U0001f310{n:04}" * 8 for n in range(3000)]
+    store.commit([ObjectChange("s", dict.fromkeys(old, b""))])
+    store.commit([ObjectChange("s", {f"{name}+": b"x" for name in old[:1500]}, tuple(old[:1500]))])
+    one = store.objects["s"]
+    for since in (None, 1):
+        parts = list(one.parts("s", since, 4096))
+        assert max(size_of(part) for part in parts) <= 4096 + 200
+        assert [part.more for part in parts] == [True] * (len(parts) - 1) + [False]
+        assert {part.kind for part in parts} == {Kind.SNAPSHOT if since is None else Kind.DELTA}
+
+
+def test_an_item_larger_than_a_part_goes_alone() -> None:
+    store = Store()
+    store.commit([ObjectChange("s", {"a": b"", "b": bytes(5000), "c": b""})])
+    assert [len(part.items) for part in store.objects["s"].parts("s", None, 1000)] == [1, 1, 1]
+
+
+def test_an_object_without_items_is_one_part() -> None:
+    store = Store()
+    store.commit([ObjectChange("s")])
+    lower = Store()
+    assert [c.name for c in take(lower, sent(store, ["s"], None), 1).changes] == ["s"]
+    assert state_of(lower) == {"s": {}}
+
+
+def test_what_was_taken_away_longer_ago_than_is_known_means_a_snapshot() -> None:
+    store = Store()
+    store.commit([ObjectChange("s", {f"{n}": b"" for n in range(TOMBSTONES_LEAST + 2)})])
+    for n in range(TOMBSTONES_LEAST + 2):
+        store.commit([ObjectChange("s", removed=(f"{n}",))])
+    one = store.objects["s"]
+    assert one.since(1) is None and one.since(2) is None
+    assert len(one.removed) == TOMBSTONES_LEAST
+    change = one.since(3)
+    assert change is not None and len(change.removed) == TOMBSTONES_LEAST
+    assert next(one.parts("s", 2, 16384)).kind is Kind.SNAPSHOT
+
+
+def test_an_object_made_anew_is_a_snapshot_for_who_held_the_one_before() -> None:
+    store = Store()
+    store.commit([ObjectChange("s", {"a": b""})])
+    store.commit([ObjectChange("s", gone=True)])
+    store.commit([ObjectChange("s", {"b": b""})])
+    assert [part.kind for part in store.objects["s"].parts("s", 1, 16384)] == [Kind.SNAPSHOT]
+
+
+# The store
+
+
+def test_a_commit_of_no_new_revision_is_refused_and_changes_nothing() -> None:
+    store = Store()
+    store.commit([ObjectChange("s", {"a": b""})], 7)
+    for revision in (6, 7):
+        with pytest.raises(OutOfOrder):
+            store.commit([ObjectChange("s", {"a": b"x"})], revision)
+    assert state_of(store) == {"s": {"a": b""}} and store.revision == 7
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        ObjectChange("", {"a": b""}),
+        ObjectChange("n" * (NAME_MOST + 1), {"a": b""}),
+        ObjectChange("t", {"": b""}),
+        ObjectChange("t", {"ä" * 101: b""}),
+        ObjectChange("t", {"a": bytes(ITEM_MOST + 1)}),
+        ObjectChange("t", {f"{n}": bytes(ITEM_MOST) for n in range(OBJECT_MOST // ITEM_MOST)}),
+    ],
+)
+def test_what_every_subscriber_would_refuse_is_not_committed(change: ObjectChange) -> None:
+    store = Store()
+    store.commit([ObjectChange("s", {"a": b""})])
+    with pytest.raises(OutOfBounds):
+        store.commit([ObjectChange("s", {"a": b"x"}), change])
+    with pytest.raises(OutOfBounds):
+        store.replace({"s": {}, change.name: change.items})
+    assert state_of(store) == {"s": {"a": b""}} and store.revision == 1
+
+
+def test_the_largest_object_that_is_committed_is_taken() -> None:
+    upper, lower = Store(), Store()
+    items = {f"{n:03}": bytes(ITEM_MOST - 3) for n in range(OBJECT_MOST // ITEM_MOST)}
+    upper.commit([ObjectChange("s", items)])
+    take(lower, sent(upper, ["s"], None), 1)
+    assert state_of(lower) == {"s": items} and upper.objects["s"].size == OBJECT_MOST
+
+
+def test_replace_commits_the_difference_and_nothing_where_there_is_none() -> None:
+    store = Store()
+    assert set(store.replace({"a": {"x": b"1", "y": b"2"}, "b": {}})) == {"a", "b"}
+    assert store.replace({"a": {"x": b"1", "y": b"2"}, "b": {}}) == [] and store.revision == 1
+    assert set(store.replace({"a": {"x": b"1", "z": b"3"}, "c": {}})) == {"a", "b", "c"}
+    assert state_of(store) == {"a": {"x": b"1", "z": b"3"}, "c": {}}
+    change = store.objects["a"].since(1)
+    assert change is not None and (change.items, change.removed) == ({"z": b"3"}, ("y",))
+
+
+def test_newer_and_changed_since_know_of_what_is_gone() -> None:
+    store = Store()
+    store.commit([ObjectChange(name) for name in "abc"])
+    store.commit([ObjectChange("a", {"x": b""}), ObjectChange("never", gone=True)])
+    store.commit([ObjectChange("b", gone=True)])
+    assert set(store.newer(1)) == {"a", "b", "never"} and store.newer(2) == ["b"] and store.newer(3) == []
+    assert store.changed_since("b", 2) and not store.changed_since("b", 3)
+    assert store.changed_since("never", 1) and not store.changed_since("never", 2)
+    assert not store.changed_since("c", 1) and not store.changed_since("unheard", 1)
+    store.forget("b")
+    assert not store.changed_since("b", 0)
+
+
+def test_of_what_is_gone_only_so_much_is_remembered_and_then_all_of_before_is_doubtful() -> None:
+    store = Store()
+    store.put([(f"{n}", Object(1, 1)) for n in range(GONE_MOST + 1)], 1)
+    store.put([("0", None)], 2)
+    store.put([(f"{n}", None) for n in range(1, GONE_MOST + 1)], 3)
+    assert len(store.gone) == GONE_MOST and store.gone_floor == 2
+    assert store.changed_since("0", 1) and not store.changed_since("0", 2)
+    assert store.changed_since("1", 2)
+
+
+def test_a_restamp_makes_all_of_before_unknown() -> None:
+    store = Store()
+    store.commit([ObjectChange("a", {"x": b""}), ObjectChange("b")])
+    store.commit([ObjectChange("b", gone=True)])
+    store.restamp(100)
+    assert store.changed_since("a", 99) and store.changed_since("b", 99) and store.changed_since("c", 99)
+    assert store.objects["a"].since(99) is None
+    store.commit([ObjectChange("a", {"y": b""})])
+    change = store.objects["a"].since(100)
+    assert store.revision == 101 and change is not None and change.items == {"y": b""}
+
+
+def test_an_older_object_put_late_stands_in_order() -> None:
+    store = Store()
+    store.put([("a", Object(9, 9)), ("b", Object(4, 4))], 9)
+    assert set(store.newer(8)) == {"a", "b"} and store.newer(9) == []
+
+
+# Staging
+
+
+def test_a_batch_with_one_object_that_does_not_add_up_changes_nothing() -> None:
+    upper, lower = Store(), Store()
+    upper.commit([ObjectChange(name, {"x": b"1"}) for name in "abc"])
+    take(lower, sent(upper, ["a", "b", "c"], None), 1)
+    upper.commit([ObjectChange(name, {"x": b"2"}) for name in "abc"])
+    parts = sent(upper, ["a", "b", "c"], 1)
+    parts[1] = replace(parts[1], items={"x": b"3"})
+    with pytest.raises(Torn) as torn:
+        take(lower, parts, 2)
+    assert torn.value.names == ("b",)
+    assert state_of(lower) == {name: {"x": b"1"} for name in "abc"}
+
+
+def test_the_sizes_of_an_object_and_of_a_batch_are_bounded_while_they_come() -> None:
+    rules = Rules(object_bytes=1000, batch_bytes=5000)
+    staging = Staging(Begin(0, 1, False), rules, Store())
+    part = PartOf("a", Kind.SNAPSHOT, 1, {"x": b""}, (), 1, 0, True)
+    staging.add(part, 1999)
+    with pytest.raises(Torn, match="object over the size bound"):
+        staging.add(part, 2)
+    staging = Staging(Begin(0, 1, False), rules, Store())
+    for n in range(5):
+        staging.add(replace(part, name=f"{n}", more=False), 1000)
+    with pytest.raises(Torn, match="batch of over"):
+        staging.add(replace(part, name="6"), 1)
+
+
+def test_an_object_over_its_bound_is_not_taken() -> None:
+    items = {f"{n}": bytes(100) for n in range(11)}
+    made = Object(1, 1).changed(ObjectChange("", items), 1)
+    staging = Staging(Begin(0, 1, False), Rules(object_bytes=1000), Store())
+    staging.add(next(made.parts("a", None, 16384)), 1200)
+    with pytest.raises(Torn, match="object over the size bound"):
+        staging.end(End(1, 1))
+
+
+def test_a_whole_batch_takes_away_what_it_does_not_name() -> None:
+    upper, lower = Store(), Store()
+    lower.put([("old", Object(1, 1))], 1)
+    upper.commit([ObjectChange("new")], 5)
+    taken = take(lower, sent(upper, ["new"], None), 5, whole=True)
+    assert state_of(lower) == {"new": {}}
+    assert {(c.name, c.gone) for c in taken.changes} == {("new", False), ("old", True)}
+
+
+def test_objects_are_made_as_they_come_and_the_end_is_a_short_step() -> None:
+    """Shown by what is left to do: an end makes none but those of which something was left meanwhile."""
+    upper, lower = Store(), Store()
+    upper.commit([ObjectChange(name, {"x": b"1"}) for name in "abc"])
+    staging = Staging(Begin(0, 1, True), Rules(), lower)
+    for part in sent(upper, ["a", "b", "c"], None):
+        staging.add(part, size_of(part))
+    made = {name: one.made for name, one in staging.gathered.items()}
+    assert all(one is not None for one in made.values())
+    lower.put([("b", Object(1, 1).changed(ObjectChange("", {"x": b"1"}), 1))], 1)  # as if followed anew
+    taken = staging.end(End(1, 3))
+    assert {name for name, one in taken.objects if one is made[name]} == {"a", "c"}
+    assert [change.name for change in taken.changes] == ["a", "c"]  # of b nothing is new
+
+
+# Places
+
+
+def test_subscribers_of_one_relay_spread_evenly_over_the_others() -> None:
+    relays = tuple(Place(f"relay{n}", f"r{n % 2}") for n in range(12))
+    seconds: dict[str, int] = {}
+    for n in range(2200):
+        order = rank(Place(f"proxy{n}", "r0"), relays)
+        assert {one.region for one in order[:6]} == {"r0"} and len(order) == 12
+        if order[0].name == "relay0":
+            seconds[order[1].name] = seconds.get(order[1].name, 0) + 1
+    assert len(seconds) == 5 and max(seconds.values()) < 1.35 * sum(seconds.values()) / 5
+
+
+def test_the_order_does_not_depend_on_how_relays_are_given() -> None:
+    relays = tuple(Place(f"relay{n}", f"r{n % 2}") for n in range(6))
+    assert rank(Place("p", "r1"), relays) == rank(Place("p", "r1"), relays[::-1])
+
+
+def test_a_message_is_never_larger_than_what_is_counted_for_it() -> None:
+    import msgspec
+
+    from flintlatch.delivery import model
+
+    long = "n" * 200
+    for message in (
+        model.Hello(long, 1, "r" * 32, "z" * 32, model.REVISION_MOST, True),
+        model.Subscribe((long,) * 256, (long,) * 256),
+        model.Unsubscribe((long,) * 256),
+        model.Credit(2**60),
+        model.Ping(2**60),
+        model.Applied(2**60),
+        model.Refused(2**60, 2**60, (long,) * 256),
+        model.Welcome(long, 2**60, 2**60),
+        model.Turned(2, 2**60),
+        model.Begin(2**60, 2**60, True),
+        model.End(2**60, 2**60),
+        model.Pong(2**60, 2**60, 2**60, True, 2**60),
+        model.LeftOut((long,) * 300),
+        PartOf(
+            long, 1, 2**60, {f"{n}" * 60: bytes(300) for n in range(100)}, (long,) * 100, 2**60, 2**63, True
+        ),
+    ):
+        assert len(msgspec.msgpack.encode(message)) <= size_of(message) - 10  # length, seal
