--- /dev/null
+++ b/tests/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""What capacity runs measure, held in CI by counts."""
--- /dev/null
+++ b/tests/capacity/test_module.py
@@ -0,0 +1,127 @@
+"""What capacity runs say of the module, its list and one proxy's path, held by counts and never by time."""
+
+import asyncio
+from math import inf, isfinite
+
+import orjson
+import pytest
+
+from bench.scale import lists, module, path
+from bench.scale.data import Series
+from flintlatch.api import Event, ListKind, ServerInfo, ServerList
+from flintlatch.choice import Balancer
+from flintlatch.net.discovery import MAX_LIST, read_listing
+from flintlatch.standin.registry import Registry
+
+OF_MODULE = {
+    *(prefix + name for prefix in ("", "keyed_") for name in module.NOTES),
+    "memory_bytes",
+    "tenants_memory_bytes",
+    "tenants_rest_core",
+    "tenants_step_ms",
+    "services_memory_bytes",
+    "services_rest_core",
+}
+OF_LISTS = {*lists.NOTES, "memory_bytes"}
+OF_PATH = {"p50_added_ms", "p99_added_ms", "cpu_us", "rest_core", "memory_bytes"}
+SNAPSHOT_BYTES = range(120, 181)  # a server; more would cut the list at fewer of them than we say
+DELTA_BYTES = range(140, 221)
+
+
+class Counting(Balancer):
+    """Counts the entries that its lists make it touch."""
+
+    entries = 0
+
+    def on_entry(self, now: float, entry: ServerInfo) -> None:
+        self.entries += 1
+        super().on_entry(now, entry)
+
+
+def check(found: list[Series], part: str, names: set[str]) -> None:
+    assert {series.name for series in found} == {f"{part}.{name}" for name in names}
+    for series in found:
+        assert len(series.points) >= 2, series.name
+        # Added is a difference of two runs: by chance it may be below nothing.
+        least = -inf if series.name.endswith("_added_ms") else 0.0
+        for size, value in series.points:
+            assert isfinite(value) and value > least and size > 0, (series.name, size, value)
+        assert series.kind in ("hollow", "process", "sockets") and series.note
+
+
+def test_small_run_of_the_module_gives_each_series() -> None:
+    found = module.alone(module.run, 1, True)
+    check(found, "module", OF_MODULE)
+    sizes = {series.over: max(size for size, _ in series.points) for series in found}
+    assert sizes == {"servers": 200, "tenants": 390, "services": 11}
+
+
+def test_small_run_of_lists_gives_each_series() -> None:
+    found = module.alone(lists.run, 1, True)
+    check(found, "lists", OF_LISTS)
+    points = {series.name: dict(series.points) for series in found}
+    for servers in (20, 200):
+        assert int(points["lists.snapshot_bytes"][servers] / servers) in SNAPSHOT_BYTES
+        assert int(points["lists.delta_bytes"][servers]) in DELTA_BYTES
+
+
+def test_small_run_of_the_path_gives_each_series() -> None:
+    check(path.run(1, True), "path", OF_PATH)
+
+
+@pytest.mark.parametrize("servers", [20, 200])
+def test_a_delta_of_one_entry_is_one_entry_for_the_module(servers: int) -> None:
+    registry = lists.fill(Registry(), servers)
+    balancer = Counting(module.settings(), 1)
+    whole = read_listing(orjson.loads(lists.snapshot(registry)), lists.wire())
+    assert whole.whole and len(whole.targets) == servers
+    balancer.step(1000.0, [ServerList(ListKind.FULL, tuple(target.info for target in whole.targets))])
+    assert balancer.entries == servers
+    change = read_listing(orjson.loads(lists.delta(registry)), lists.wire())
+    assert not change.whole and change.rev == whole.rev + 1
+    news: list[Event] = [ServerList(ListKind.CHANGES, tuple(target.info for target in change.targets))]
+    balancer.step(1025.0, news)
+    assert balancer.entries == servers + 1
+    assert len(balancer.servers) == servers and len(balancer.active) == servers - 1
+
+
+def test_bytes_of_a_delta_do_not_grow_with_the_list_and_those_of_a_snapshot_do() -> None:
+    few, many = lists.fill(Registry(), 20), lists.fill(Registry(), 200)
+    a, b = len(lists.snapshot(few)), len(lists.snapshot(many))
+    assert 9 * a < b < 11 * a
+    assert abs(len(lists.delta(few)) - len(lists.delta(many))) <= 4  # digits of its version
+
+
+def test_the_list_is_cut_where_its_bytes_are_more_than_discovery_takes() -> None:
+    taken, said = asyncio.run(lists.most_taken())
+    size = [len(lists.snapshot(lists.fill(Registry(), servers))) for servers in (taken, taken + 1)]
+    assert size[0] <= MAX_LIST < size[1]
+    assert said == f"Malformed: a list of {size[1]} bytes, {MAX_LIST} at most can be taken"
+
+
+def test_memory_of_a_server_and_of_a_tenant_is_bounded() -> None:
+    a, b = (module.alone(module.server_memory, servers, 1) for servers in (20, 200))
+    assert 180 * 500 < b - a < 180 * 3000
+    a, b = (module.alone(module.tenant_memory, tenants, 1) for tenants in (39, 390))
+    assert 351 * 8 < b - a < 351 * 200
+
+
+@pytest.mark.parametrize("keyed", [False, True])
+def test_each_request_of_a_play_is_sent_or_ended_once(keyed: bool) -> None:
+    play = module.Play(module.settings(keyed), 18, 1)
+    play.arrive()
+    play.run(1.0)
+    waiting = sum(request.held for request in play.balancer.requests.values())
+    assert play.arrivals > module.RATE / 2
+    assert play.sent + play.final + waiting == play.arrivals
+    assert len(play.rest) == 1000 / module.BEAT_MS
+
+
+def test_the_same_seed_gives_the_same_requests() -> None:
+    def counts(seed: int) -> tuple[int, int, int]:
+        play = module.Play(module.settings(), 200, seed)
+        play.arrive()
+        play.run(0.5)
+        return play.arrivals, play.sent, play.final
+
+    assert counts(1) == counts(1) != counts(2)
