--- a/flintlatch/fleet/members.py
+++ b/flintlatch/fleet/members.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from flintlatch.api import ServerInfo, ServerState
 from flintlatch.config import Config, beside
@@ -35,30 +35,38 @@
 from flintlatch.net.discovery import Listing, Target
 from flintlatch.settings import Wire
 
+if TYPE_CHECKING:
+    from flintlatch.fleet.delivered import Followed, Supply
+
 REGISTRY = "registry"  # its name as a source
 FAULTS_TOLD = 5  # of a rejection in the log; all are in `status`
 
 
 class Members:
-    """`take` gets the first list whole, then what changes."""
+    """`take` gets the first list whole, then what changes. `supply`: of nodes by delivery."""
 
     def __init__(
-        self, config: Config, take: Callable[[Listing], None], log: Callable[[str, str], None]
+        self,
+        config: Config,
+        take: Callable[[Listing], None],
+        log: Callable[[str, str], None],
+        supply: Supply | None = None,
     ) -> None:
         self.wire, self.take, self.log = config.wire(), take, log
         self.loop = asyncio.get_running_loop()
         table = config.nodes
         named = {f"{table.catalogue}#{service}": service for service in table.services}
         registry = (REGISTRY,) if table.source == "registry" else ()
+        delivered = (table.service,) if table.source == "delivery" else ()
         self.core = Membership(
             Rules(
-                (*table.files, *named, *registry),
+                (*table.files, *named, *registry, *delivered),
                 most_removed_part=table.most_removed_part,
                 hold_s=table.hold_s,
                 drains_at_once=frozenset(registry),  # a drain is a process's own word there, not a hand's
             )
         )
-        self.heard_ms = 0.0
+        self.offered_ms = 0.0
         self.keep_path = beside(config.path, table.keep) if table.keep else ""
         self.kept: set[asyncio.Future[None]] = set()
         self.wake: asyncio.TimerHandle | None = None
@@ -66,7 +74,7 @@
         self.last_rejection = ""
         for name in self.core.rules.sources:
             self._restore(name)
-        self.sources: list[FileSource | CatalogueSource | RegistrySource] = [
+        self.sources: list[FileSource | CatalogueSource | RegistrySource | Followed] = [
             source_of(name, beside(config.path, name), self.on_event) for name in table.files
         ]
         token = self._token(beside(config.path, table.token_file)) if table.token_file else ""
@@ -79,10 +87,22 @@
 
         if registry:
             self.sources.append(RegistrySource(REGISTRY, table.registry, self.wire, self.on_event))
+        self.followed: Followed | None = None
+        if delivered and supply is not None:
+            self.followed = supply.follow(config, self.on_event)
+            self.sources.append(self.followed)
 
     def failure(self) -> str:
         """Why there is no list yet, as far as sources have said."""
-        return "; ".join(source.failure for source in self.core.sources.values() if source.failure)
+        failures = [source.failure for source in self.core.sources.values()]
+        if self.followed is not None:
+            failures.append(self.followed.failure())
+        return "; ".join(filter(None, failures))
+
+    @property
+    def heard_ms(self) -> float:
+        """When a source last said something of use; by delivery, when what is held was the origin's."""
+        return self.followed.heard_ms() if self.followed is not None else self.offered_ms
 
     def _token(self, path: str) -> str:
         try:
@@ -110,7 +130,7 @@
 
     def on_event(self, event: Event) -> None:
         if isinstance(event, Offered):
-            self.heard_ms = now_ms()
+            self.offered_ms = now_ms()
             if failure := self.core.sources[event.version.source].failure:
                 self.log("info", f"{event.version.source}: answers again, after {failure}")
         for action in self.core.step(self.loop.time(), event):
@@ -120,6 +140,8 @@
                 self.taken += 1
                 self.log("info", f"{action.version.source}: version {action.version.number} taken")
                 self._keep(action.version)
+                if self.followed is not None:
+                    self.followed.took(action.version)
             elif isinstance(action, Rejected):
                 self.rejected += 1
                 told = "; ".join(map(str, action.faults[:FAULTS_TOLD]))
@@ -190,6 +212,7 @@
                 "rejections": [
                     {"version": one.number, "faults": list(map(str, one.faults))} for one in source.rejections
                 ],
+                "delivery": self.followed.report() if self.followed is not None else None,
             }
             for source in self.core.sources.values()
         ]
--- a/flintlatch/fleet/nodes.py
+++ b/flintlatch/fleet/nodes.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from flintlatch.api import ServerInfo, ServerState
 from flintlatch.config import Config
@@ -13,6 +13,9 @@
 from flintlatch.net.discovery import STATES, Listing, Target
 from flintlatch.net.http1 import split_address
 
+if TYPE_CHECKING:
+    from flintlatch.fleet.delivered import Supply
+
 STATE_NAMES = {state: name for name, state in STATES.items()}
 
 
@@ -55,7 +58,11 @@
     """`on_news` is called with each list or change that comes after the first; `first` waits for that."""
 
     def __init__(
-        self, config: Config, on_news: Callable[[Nodes, Listing], None], log: Callable[[str, str], None]
+        self,
+        config: Config,
+        on_news: Callable[[Nodes, Listing], None],
+        log: Callable[[str, str], None],
+        supply: Supply | None = None,
     ) -> None:
         self.on_news, self.log = on_news, log
         self.targets: dict[str, Target] = {}
@@ -65,7 +72,7 @@
         if config.nodes.source == "static":
             self._take(fixed(config))
         else:
-            self.members = Members(config, self._take, log)
+            self.members = Members(config, self._take, log, supply)
 
     async def first(self) -> None:
         await self.come.wait()
--- a/flintlatch/fleet/supervisor.py
+++ b/flintlatch/fleet/supervisor.py
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     from flintlatch.fleet.agreed import Agreed
+    from flintlatch.fleet.delivered import Supply
 
 TAKEOVER = "FLINTLATCH_TAKEOVER"  # names the descriptor of a successor's channel to its predecessor
 OWN_SOCKETS = 48  # descriptors of the supervisor itself: interpreter, loop, registry, control and its callers
@@ -99,6 +100,7 @@
         self.totals = Totals()
         self.page: Any = None  # of metrics
         self.agreed: Agreed | None = None
+        self.supply: Supply | None = None  # of nodes by delivery, for all generations
         self.orphans: list[str] = []  # of a predecessor that died: where they wait for this one to serve
         self.done: asyncio.Future[int] = self.loop.create_future()
         self.serving = self.stop_early = False
@@ -170,7 +172,7 @@
             self.log("info", f"listens on {address}")
         self._open_page(config)
         self._open_agreed(config)
-        nodes = Nodes(config, self._on_news, self.log)
+        nodes = self._draw(config)
         try:
             await self._first_list(nodes)
         except TimeoutError:
@@ -184,6 +186,17 @@
         if self.notifier.watchdog_s:
             self._alive()
 
+    def _draw(self, config: Config) -> Nodes:
+        """The nodes of a generation to come."""
+        if config.delivery is not None and self.supply is None:
+            try:
+                from flintlatch.fleet.delivered import Supply  # only where it is wanted
+
+                self.supply = Supply(self.log)
+            except ImportError as error:
+                self.log("error", f"delivery: {error.name} is not installed: pip install flintlatch[peers]")
+        return Nodes(config, self._on_news, self.log, self.supply)
+
     async def _first_list(self, nodes: Nodes) -> None:
         """Raises TimeoutError if the list has not come within the configuration's start limit."""
         first = self.loop.create_task(nodes.first())
@@ -199,6 +212,7 @@
         limit = f"{config.start.ready_s:g} s"
         table = config.nodes
         named = {"registry": f"registry {table.registry}", "catalogue": f"catalogue {table.catalogue}"}
+        named["delivery"] = f"delivery of {table.service}"
         where = named.get(table.source, ", ".join(table.files))
         return f"{where}: no list within {limit}: {nodes.failure or 'no answer'}"
 
@@ -305,6 +319,8 @@
             self.agreed.close()
         for nodes in self.nodes.values():
             nodes.close()
+        if self.supply is not None:
+            self.supply.close()
         for process in self.processes.values():
             process.kill()
         self.listeners.close(list(self.listeners.socks))
@@ -574,7 +590,7 @@
         except NoListener as error:
             return str(error)
         self.opening = config.fleet.listen
-        nodes = Nodes(config, self._on_news, self.log)
+        nodes = self._draw(config)
         try:
             async with asyncio.timeout(config.start.ready_s):
                 await nodes.first()
