--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,8 +1,8 @@
 """What each part of the program costs with the size of the fleet, and what that is at the fleet ahead.
 
     python -m bench.capacity --seed 1 [--part module,lists,path,peers,limits,verdicts,delivery] [--small]
-    python -m bench.capacity --page          prints docs/CAPACITY.md from the data file
-    python -m bench.capacity --page --write  writes it
+    python -m bench.capacity --page          prints docs/CAPACITY.md and the page of all slopes
+    python -m bench.capacity --page --write  writes them
 
 Runs measure series over one size each (processor time by process clocks, memory by what the process holds),
 and keep them in bench/capacity.json with seed and machine load; a small run keeps nothing. The last line has
@@ -15,7 +15,7 @@
 import importlib
 import sys
 
-from bench.scale import data, page
+from bench.scale import data, page, rows
 
 PARTS = ("module", "lists", "path", "peers", "limits", "verdicts", "delivery")
 
@@ -26,7 +26,7 @@
         series: list[data.Series] = importlib.import_module(f"bench.scale.{part}").run(seed, small)
         for one in series:
             shape = data.fit(one.points)
-            points = ", ".join(f"{page.short(n)}: {page.short(v)}" for n, v in one.points)
+            points = ", ".join(f"{rows.short(n)}: {rows.short(v)}" for n, v in one.points)
             print(f"{one.name} ({one.unit}) over {one.over}: {points}; {shape.formula}", flush=True)
         if not small:
             data.write(series)
@@ -43,11 +43,12 @@
     parser.add_argument("--write", action="store_true")
     options = parser.parse_args()
     if options.page:
-        text = page.page(page.PAGE.read_text(), data.read())
-        if options.write:
-            page.PAGE.write_text(text)
-        else:
-            print(text, end="")
+        for path in page.PAGES:
+            text = page.page(path.read_text(), data.read())
+            if options.write:
+                path.write_text(text)
+            else:
+                print(text, end="")
         return 0
     parts = options.part.split(",")
     if unknown := [part for part in parts if part not in PARTS]:
--- a/bench/delivery.py
+++ b/bench/delivery.py
@@ -351,7 +351,7 @@
             faults += [f"{day}: {text}" for text in broken(figures)]
         if args.keep:
             keep(args.keep, day, figures, size, args.seed, load)
-    over = "; ".join(faults) or "held"
+    over = "; ".join(faults) or ("held" if most else "the rival is not judged")
     print(f"seed {args.seed}: {worst:.2f} of {WITHIN_S:.0f} s, {most:.0f} of {ALLOWED:.0f} bytes/s: {over}")
     return 1 if faults else 0
 
--- a/bench/plain.py
+++ b/bench/plain.py
@@ -6,10 +6,11 @@
 from flintlatch.lab.engine import Engine
 
 
-def whole_list_bytes(size: Size) -> float:
+def whole_list_bytes(size: Size, tenants: bool = True) -> float:
     """Of the plain rival: what every proxy takes for any change."""
-    items = size.services * (18 * (5 + BACKEND + 12) + 4.73 * (2 + ROUTE + 12) + 64)
-    return items + 390_000 / 11_000 * size.services * (8 + 64 + 3 + ROW + 12)
+    services = size.services * (18 * (5 + BACKEND + 12) + 4.73 * (2 + ROUTE + 12) + 64)
+    rows = 390_000 / 11_000 * size.services * (8 + 64 + 3 + ROW + 12)
+    return services + rows if tenants else services
 
 
 def rival(size: Size, seconds: float = 900.0) -> dict[str, float]:
@@ -51,8 +52,6 @@
         "list_s": takes,
         "staleness_50_s": stale[len(stale) // 2],
         "staleness_worst_s": stale[-1],
-        "wanted_bytes_per_s": takes
-        * ALLOWED
-        * rate
-        / size.times,  # of every change, as often as the target has it
+        "services_s": whole_list_bytes(size, False) / ALLOWED,  # without the tenants
+        "wanted_bytes_per_s": takes * ALLOWED * rate / size.times,  # each change sent, as often as it comes
     }
--- a/bench/scale/page.py
+++ b/bench/scale/page.py
@@ -7,138 +7,18 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 
 from bench.scale import target as t
-from bench.scale.data import Series, fit
+from bench.scale.data import fit
+from bench.scale.rows import AHEAD, MISSING, SIZES, TODAY, Figure, Found, Row, at, short
 
-PAGE = Path(__file__).parent.parent.parent / "docs" / "CAPACITY.md"
+DOCS = Path(__file__).parent.parent.parent / "docs"
+PAGES = (DOCS / "CAPACITY.md", DOCS / "design" / "slopes.md")
 TABLE = re.compile(r"(<!-- table (\w+) -->\n).*?(<!-- end -->)", re.DOTALL)
 UNTOLD = "not measured"
 
 
-@dataclass(frozen=True, slots=True)
-class Figure:
-    value: float
-    mark: str
-
-
-Found = dict[str, Series]
-
-
-def short(value: float) -> str:
-    """Two or three digits that matter, with k, M, G."""
-    for factor, sign in ((1e9, "G"), (1e6, "M"), (1e4, "k")):
-        if abs(value) >= factor:
-            base = 1e3 if sign == "k" else factor
-            return f"{value / base:,.3g}{sign}" if value / base < 1000 else f"{value / base:,.0f}{sign}"
-    return f"{value:,.0f}" if abs(value) >= 100 else f"{value:.3g}"
-
-
-def at(found: Found, name: str, size: float, scale: float = 1.0) -> Figure | None:
-    """The series at a size: a point that was measured, between two of them, or beyond the largest."""
-    series = found.get(name)
-    if series is None or not series.points:
-        return None
-    points = dict(series.points)
-    largest = max(points)
-    if size in points:
-        return Figure(points[size] * scale, f"measured at {short(size)}")
-    if size <= largest:
-        above = min(n for n in points if n >= size)
-        below = max((n for n in points if n <= size), default=above)
-        part = (size - below) / (above - below) if above > below else 0.0
-        value = points[below] + (points[above] - points[below]) * part
-        return Figure(value * scale, f"between {short(below)} and {short(above)}")
-    shape = fit(series.points)
-    return Figure(shape.at(size) * scale, f"extrapolated x {size / largest:.3g} from {short(largest)}")
-
-
-def assumed(value: float, why: str = "") -> Figure:
-    return Figure(value, f"by formula{why}")
-
-
-@dataclass(frozen=True, slots=True)
-class Row:
-    """`unit` of both figures; `mechanism`: the file that carries it, or what is missing."""
-
-    what: str
-    unit: str
-    allowed: float
-    now: Callable[[Found], Figure | None]
-    mechanism: str
-    promised: bool = False  # that it holds; what is missing is promised nowhere
-
-
-def series(name: str, size: float, scale: float = 1.0) -> Callable[[Found], Figure | None]:
-    return lambda found: at(found, name, size, scale)
-
-
-def fixed(value: float, why: str = "") -> Callable[[Found], Figure | None]:
-    return lambda found: assumed(value, why)
-
-
-ALL = "all backends in every proxy"
-OWN = f"own part ({t.FOLLOWED} services)"
-MODULE = "module's walks (`choice.py`): **missing**"
-
-TODAY = (
-    Row(f"change: whole list, {ALL}", "KB in 13 s", t.BYTES_PER_S * t.IN_FORCE_S / 1e3,
-        series("lists.snapshot_bytes", t.BACKENDS, 1e-3), "scoped delivery: was missing, now `delivery/`"),
-    Row("longest list that a proxy takes", "bytes of its bound", 1024 * 1024,
-        series("lists.snapshot_bytes", t.BACKENDS), "`net/discovery.py`, `MAX_LIST`; scoped delivery"),
-    Row(f"module's memory, {ALL}", "MB", t.MEMORY / 1e6,
-        series("module.memory_bytes", t.BACKENDS, 1e-6), "scoped delivery"),
-    Row(f"module at rest, {ALL}", "of a core", t.CORE,
-        series("module.rest_core", t.BACKENDS), "scoped delivery, then " + MODULE),
-    Row(f"longest step at rest, {ALL}", "ms", t.ADDED_MS,
-        series("module.rest_step_ms", t.BACKENDS), "scoped delivery, then " + MODULE),
-    Row(f"one entry changed, {ALL}", "ms", t.ADDED_MS,
-        series("module.change_ms", t.BACKENDS), "scoped delivery, then " + MODULE),
-    Row("tenants: longest step, all in every proxy", "ms", t.ADDED_MS,
-        series("module.tenants_step_ms", t.TENANTS), "own tenants by delivery; `find_part`: **missing**"),
-    Row("tenants: at rest, all in every proxy", "of a core", t.CORE,
-        series("module.tenants_rest_core", t.TENANTS), "own tenants by delivery; `find_part`: **missing**"),
-    Row("a limit for each tenant", "limits", 64.0,
-        fixed(t.TENANTS), "`limits/`, 64 at most: rows by tenant **missing**"),
-    Row("peers: a death known to all", "s", t.IN_FORCE_S,
-        series("peers.death_s", t.PROXIES), "`peers/`: suspicion in zones **missing**"),
-    Row("peers: at rest", "KB/s", t.BYTES_PER_S / 1e3,
-        series("peers.rest_bytes_per_s", t.PROXIES, 1e-3), "`peers/`"),
-    Row("peers: at rest", "of a core", t.CORE, series("peers.core", t.PROXIES), "`peers/`"),
-)  # fmt: skip
-
-AHEAD = (
-    Row("a change in force at all who follow it, ordinary day, 99.9%", "s", t.IN_FORCE_S,
-        series("day.ordinary.staleness_999_s", t.PROXIES), "`delivery/`", True),
-    Row("the same, 3 relays dead", "s", t.IN_FORCE_S,
-        series("day.relays_dead.staleness_999_s", t.PROXIES), "`delivery/`", True),
-    Row("bytes a proxy, worst minute, ordinary day", "KB/s", t.BYTES_PER_S / 1e3,
-        series("day.ordinary.minute_bytes_per_s", t.PROXIES, 1e-3), "`delivery/`, credit", True),
-    Row("a proxy's objects", "MB", t.MEMORY / 1e6,
-        series("delivery.proxy_memory_bytes", t.FOLLOWED, 1e-6), "`delivery/store.py`", True),
-    Row("a proxy's delivery at rest", "of a core", t.CORE,
-        series("delivery.proxy_core", t.FOLLOWED), "`delivery/subscriber.py`", True),
-    Row(f"module's memory, {OWN}, a pool each", "MB", t.MEMORY / 1e6,
-        series("module.services_memory_bytes", t.FOLLOWED, 1e-6), "pools in one process: **missing**"),
-    Row(f"module at rest, {OWN}, a pool each", "of a core", t.CORE,
-        series("module.services_rest_core", t.FOLLOWED), MODULE),
-    Row(f"longest step at rest, {OWN} in one pool", "ms", t.ADDED_MS,
-        series("module.rest_step_ms", t.OWN_BACKENDS), MODULE),
-    Row(f"tenants: longest step, {t.OWN_TENANTS:,} rows", "ms", t.ADDED_MS,
-        series("module.tenants_step_ms", t.OWN_TENANTS), "`find_part`: **missing**"),
-    Row("a relay's objects, all of them", "MB", 4_000.0,
-        series("delivery.relay_memory_bytes", t.BACKENDS, 1e-6),
-        "`delivery/store.py`; a machine of 4 GB assumed", True),
-    Row("a relay's processor", "of a core", 1.0,
-        series("delivery.relay_core", 44), "`delivery/relay.py`; 44 subscribers each", True),
-    Row("a relay's longest step", "ms", 100.0,
-        series("delivery.longest_step_ms", 44), "a tick; `delivery/relay.py`", True),
-)  # fmt: skip
-
-
 def ranking(found: Found, rows: tuple[Row, ...]) -> list[tuple[float, Row, Figure | None]]:
     out = []
     for row in rows:
@@ -164,12 +44,23 @@
     return "\n".join(lines)
 
 
-def slopes_table(found: Found) -> str:
+SHOWN = (
+    "module.memory_bytes", "module.rest_core", "module.rest_step_ms", "module.change_ms", "module.request_us",
+    "module.services_rest_core", "module.tenants_step_ms", "lists.snapshot_bytes", "lists.snapshot_turn_ms",
+    "path.p99_added_ms", "peers.death_s", "peers.rest_bytes_per_s", "limits.core_by_holders",
+    "limits.granted_by_members", "verdicts.cpu_ms_by_observers", "delivery.proxy_memory_bytes",
+    "delivery.proxy_core", "delivery.change_bytes", "delivery.snapshot_bytes", "delivery.relay_memory_bytes",
+    "delivery.relay_core", "delivery.origin_core",
+)  # fmt: skip
+
+
+def slopes_table(found: Found, names: tuple[str, ...]) -> str:
     lines = ["| series | over n | points, smallest to largest | shape | residual | kind, seed, load |"]
     lines.append("| --- | --- | --- | --- | --- | --- |")
-    for name in sorted(found):
-        one = found[name]
-        if name.startswith("day.") or not one.points:
+    for name in names:
+        one = found.get(name)
+        if one is None or not one.points:
+            lines.append(f"| {name} | | {UNTOLD} | | | |")
             continue
         ordered = sorted(one.points)
         (n1, v1), (n2, v2) = ordered[0], ordered[-1]
@@ -240,7 +131,7 @@
     known = [figure for figure in figures if figure is not None]
     if len(known) < len(figures):
         return UNTOLD
-    marks = sorted({figure.mark for figure in known}, key=lambda mark: not mark.startswith("extra"))
+    marks = sorted({figure.mark for figure in known}, key=lambda mark: (-"mbe".index(mark[0]), mark))
     return f"{short(sum(figure.value for figure in known))} {unit} ({'; '.join(marks[:1])})"
 
 
@@ -285,14 +176,32 @@
     return "\n".join([*lines, *("| " + " | ".join(row) + " |" for row in rows)])
 
 
+def missing_table(found: Found) -> str:
+    def ratio(name: str, place: int) -> str:
+        if not name:
+            return "-"
+        figure = at(found, name, SIZES[name][place])
+        return f"{short(figure.value / SIZES[name][2])} ({name})" if figure else UNTOLD
+
+    lines = [
+        "| mechanism | ratio, all in every proxy | ratio, own part | what needs it |",
+        "| --- | --- | --- | --- |",
+    ]
+    for one in MISSING:
+        lines.append(f"| {one.what} | {ratio(one.today, 0)} | {ratio(one.own, 1)} | {one.needs} |")
+    return "\n".join(lines)
+
+
 def tables(found: Found) -> dict[str, str]:
     return {
         "today": rows_table(found, TODAY, True),
         "ahead": rows_table(found, AHEAD, False),
         "who": who_table(found),
         "roles": roles_table(found),
+        "missing": missing_table(found),
         "days": days_table(found),
-        "slopes": slopes_table(found),
+        "slopes": slopes_table(found, SHOWN),
+        "all": slopes_table(found, tuple(n for n in sorted(found) if not n.startswith("day."))),
     }
 
 
