--- a/tests/delivery/reference.py
+++ b/tests/delivery/reference.py
@@ -294,3 +294,39 @@
 
     def settle(self, most: float = 30.0) -> float:
         return self.until(self.right, most)
+
+
+OBJECTS = tuple(f"s{n}" for n in range(12))
+
+
+def settled(
+    relays: int = 3, seed: int = 1, rules: Rules | None = None, proxies: int = 4, watched: bool = True
+) -> Fleet:
+    fleet = Fleet(seed, relays=relays, rules=rules, watched=watched)
+    fleet.commit(*(ObjectChange(name, {f"n{k}": b"x" * 50 for k in range(8)}) for name in OBJECTS))
+    for n in range(proxies):
+        fleet.proxy(f"p{n}", *OBJECTS[n : n + 6])
+    fleet.settle()
+    fleet.run(3)
+    fleet.wire.clear()
+    for name in (*fleet.names, *fleet.places):
+        fleet.core(name).counts.clear()
+    return fleet
+
+
+def served_by(fleet: Fleet, name: str) -> list[str]:
+    return [one for one in fleet.names if fleet.core(one).main and fleet.relay_of(one) == name]
+
+
+def most_served(fleet: Fleet) -> str:
+    return Counter(fleet.relay_of(name) for name in fleet.names).most_common(1)[0][0]
+
+
+def changed(fleet: Fleet, value: str) -> None:
+    fleet.commit(*(ObjectChange(name, {"n3": value.encode()}) for name in OBJECTS))
+
+
+def snapshots(fleet: Fleet) -> int:
+    return sum(
+        count for (to, kind), count in fleet.wire.parts.items() if kind is Kind.SNAPSHOT and to[0] == "p"
+    )
