--- a/flintlatch/delivery/relay.py
+++ b/flintlatch/delivery/relay.py
@@ -185,7 +185,9 @@
         ):
             session.paused = isinstance(event, Paused)
             self.busy[session.number] = None
-        self._pump(now)
+        # Who asks is answered at once, however much is to be sent: else all would find a busy relay silent.
+        if not (isinstance(event, Received) and isinstance(event.message, Ping | Hello)):
+            self._pump(now)
         return self.out
 
     def _send(self, session: Session, message: FromRelay) -> None:
--- a/tests/delivery/test_bounds.py
+++ b/tests/delivery/test_bounds.py
@@ -5,7 +5,21 @@
 import pytest
 
 from flintlatch.delivery import relay, subscriber
-from flintlatch.delivery.model import Begin, Credit, Kind, Message, ObjectChange, Pong, Rules, size_of
+from flintlatch.delivery.model import (
+    Begin,
+    Credit,
+    Hello,
+    Kind,
+    Message,
+    ObjectChange,
+    Ping,
+    Pong,
+    Role,
+    Rules,
+    Welcome,
+    size_of,
+)
+from flintlatch.delivery.store import Store
 from flintlatch.lab.delivery import RelayHost, Stream
 from tests.delivery.reference import OBJECTS, Fleet, changed, settled
 
@@ -226,3 +240,24 @@
     for _ in range(100):
         core.step(fleet.now, subscriber.Received(core.main.number, pong))
     assert core.tokens == pytest.approx(before - 100 * size_of(pong))
+
+
+def test_who_asks_is_answered_before_more_is_sent_to_others() -> None:
+    """A relay with much to send let each ping wait behind a full turn: all found it silent."""
+    store = Store()
+    store.commit([ObjectChange(f"s{n}", {"a": bytes(16_000)}) for n in range(100)])
+    made = relay.Relay("r", store, Rules(), lambda now: 0.0)
+    for number in (1, 2, 3):
+        made.step(0.0, relay.Accepted(number))
+    hello = Hello("below", Role.RELAY, "", "", 0, True)
+    assert [type(a.message) for a in sent(made.step(0.0, relay.Received(1, hello)))] == [Welcome]
+    first = sent(made.step(0.0, relay.Received(1, Credit(1 << 30))))
+    assert len(first) > 10 and made.busy  # a turn, and more to send
+    for message, answer in ((hello, Welcome), (Ping(1), Pong)):
+        (action,) = sent(made.step(0.1, relay.Received(2, message)))
+        assert isinstance(action.message, answer) and action.session == 2
+    assert sent(made.step(0.1, relay.Go()))  # and then the rest goes on
+
+
+def sent(actions: list[relay.Action]) -> list[relay.Transmit]:
+    return [action for action in actions if isinstance(action, relay.Transmit)]
