A relay sends one turn for each Go, so that what it hears never waits behind its sending

Seen: with all relays lost at once and an origin of 1.3 MB/s (220 proxies, a tenth of the fleet), 969 changes were not in force after 165 s although pings were answered without a turn: credit, ticks and commits each still sent 256 KB, so the origin fell behind what it heard and its relays began again from nothing, for good. Cause: Relay.step pumped for every event. Change: only Go sends, and Again is said once until its Go has come, or a second has passed. Tests that drove the core by hand now carry out Again as the shells do; nothing they assert has changed.

--- a/flintlatch/delivery/relay.py
+++ b/flintlatch/delivery/relay.py
@@ -9,6 +9,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterator
+from math import inf
 from typing import NamedTuple
 
 from flintlatch.delivery.model import (
@@ -39,6 +40,7 @@
 from flintlatch.delivery.store import Object, Store
 
 TURN_BYTES = 256 * 1024  # sent in one step, of all subscribers: the loop is held for no longer
+GO_S = 1.0  # after which an `Again` without its `Go` is said anew
 QUIET = 4.0  # times the time of silence without a message after which a subscriber has gone
 CREDIT_MOST = 1 << 30
 LEAP = (
@@ -160,6 +162,7 @@
         self.sessions: dict[int, Session] = {}
         self.followers: dict[str, set[int]] = {}
         self.busy: dict[int, None] = {}  # sessions that may have something to send, in turn
+        self.asked_at = -inf  # when `Again` was said, while no `Go` has come since
         self.counts: Counter[str] = Counter()
         self.out: list[Action] = []
 
@@ -185,9 +188,14 @@
         ):
             session.paused = isinstance(event, Paused)
             self.busy[session.number] = None
-        # Who asks is answered at once, however much is to be sent: else all would find a busy relay silent.
-        if not (isinstance(event, Received) and isinstance(event.message, Ping | Hello)):
+        # One turn of sending for each `Go`, whatever else happens meanwhile: were each event a turn, a relay
+        # with much to send would fall behind what it hears, and all would find it silent.
+        if isinstance(event, Go):
+            self.asked_at = -inf
             self._pump(now)
+        if self.busy and now - self.asked_at > GO_S:
+            self.asked_at = now
+            self.out.append(Again())
         return self.out
 
     def _send(self, session: Session, message: FromRelay) -> None:
@@ -427,5 +435,3 @@
                 self.counts["batches"] += 1
             else:
                 self.busy[number] = None
-        if self.busy:
-            self.out.append(Again())
--- a/tests/delivery/test_bounds.py
+++ b/tests/delivery/test_bounds.py
@@ -122,7 +122,8 @@
 def test_a_subscriber_that_reads_slowly_costs_names_only_and_catches_up() -> None:
     fleet = settled(proxies=1)
     one, session = queue_of(fleet, "p0")
-    one.step(fleet.now, relay.Paused(session.number))
+    host = fleet.lab.hosts[fleet.relay_of("p0")]
+    host.from_below(relay.Paused(session.number))
     at = session.credit
     for n in range(300):
         changed(fleet, f"{n}")
@@ -131,7 +132,6 @@
     fleet.run(1)
     assert session.credit == at and not fleet.exact("p0")
     fleet.wire.clear()
-    host = fleet.lab.hosts[fleet.relay_of("p0")]
     host.from_below(relay.Drained(session.number))
     fleet.settle(1)
     assert fleet.wire.sent["p0", Begin] == 1 and fleet.wire.parts["p0", Kind.DELTA] == 6
@@ -243,20 +243,26 @@
 
 
 def test_who_asks_is_answered_before_more_is_sent_to_others() -> None:
-    """A relay with much to send let each ping wait behind a full turn: all found it silent."""
+    """Each event was a turn of sending: a relay with much to send fell behind, and all found it silent."""
     store = Store()
     store.commit([ObjectChange(f"s{n}", {"a": bytes(16_000)}) for n in range(100)])
     made = relay.Relay("r", store, Rules(), lambda now: 0.0)
     for number in (1, 2, 3):
         made.step(0.0, relay.Accepted(number))
     hello = Hello("below", Role.RELAY, "", "", 0, True)
-    assert [type(a.message) for a in sent(made.step(0.0, relay.Received(1, hello)))] == [Welcome]
-    first = sent(made.step(0.0, relay.Received(1, Credit(1 << 30))))
-    assert len(first) > 10 and made.busy  # a turn, and more to send
+    greeted = made.step(0.0, relay.Received(1, hello))
+    assert [type(a.message) for a in sent(greeted)] == [Welcome] and greeted[-1] == relay.Again()
+    assert made.step(0.0, relay.Received(1, Credit(1 << 30))) == []  # a turn is asked for already
+    first = made.step(0.0, relay.Go())
+    assert len(sent(first)) > 10 and first[-1] == relay.Again()  # a turn, and more to send
     for message, answer in ((hello, Welcome), (Ping(1), Pong)):
-        (action,) = sent(made.step(0.1, relay.Received(2, message)))
+        (action,) = made.step(0.1, relay.Received(2, message))  # and no second turn is asked for
+        assert isinstance(action, relay.Transmit)
         assert isinstance(action.message, answer) and action.session == 2
-    assert sent(made.step(0.1, relay.Go()))  # and then the rest goes on
+    for event in (relay.Tick(), relay.Committed(("s1",)), relay.Received(2, Credit(1 << 30))):
+        assert made.step(0.1, event) == []
+    assert made.step(1.2, relay.Tick()) == [relay.Again()]  # one whose turn never came asks anew
+    assert sent(made.step(1.3, relay.Go()))  # and then the rest goes on
 
 
 def sent(actions: list[relay.Action]) -> list[relay.Transmit]:
--- a/tests/delivery/test_refusals.py
+++ b/tests/delivery/test_refusals.py
@@ -91,7 +91,12 @@
 
 
 def say(one: relay.Relay, message: FromSubscriber, session: int = 1, now: float = 0.0) -> list[relay.Action]:
-    return one.step(now, relay.Received(session, message))
+    """With the turns of sending that it asks for."""
+    out = one.step(now, relay.Received(session, message))
+    while relay.Again() in out:
+        out.remove(relay.Again())
+        out += one.step(now, relay.Go())
+    return out
 
 
 def answers(out: list[relay.Action]) -> list[FromRelay]:
