--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -56,9 +56,15 @@
     print(f"seed {options.seed}, load {data.load():.1f}", flush=True)
     made = measure(parts, options.seed, options.small)
     found = {one.name: one for one in made} if options.small else data.read()
-    promised, ratio, row = page.worst(found)
+    promised, known, rows, ratio, row = page.worst(found)
+    if not known:
+        print(f"no row that is promised was measured; worst of all rows {ratio:.3g}: {row}")
+        return 0
     kept = "broken" if promised > 1 else "held"
-    print(f"promises {kept}, at most {promised:.3g} of an allowance; worst of all rows {ratio:.3g}: {row}")
+    print(
+        f"promises {kept}, {known} of {rows} measured, at most {promised:.3g} of an allowance; "
+        f"worst of all rows {ratio:.3g}: {row}"
+    )
     return 1 if promised > 1 else 0
 
 
--- a/bench/scale/page.py
+++ b/bench/scale/page.py
@@ -227,8 +227,11 @@
     return TABLE.sub(lambda m: f"{m[1]}{made[m[2]]}\n{m[3]}", text)
 
 
-def worst(found: Found) -> tuple[float, float, str]:
-    """The largest ratio of what the page promises, the largest of all, and its row."""
-    promised = [row for row in (*TODAY, *AHEAD) if row.promised]
+def worst(found: Found) -> tuple[float, int, int, float, str]:
+    """The largest ratio of what the page promises, how many of these rows were measured, and of how many; the
+    largest ratio of all, and its row."""
+    promised = ranking(found, tuple(row for row in (*TODAY, *AHEAD) if row.promised))
+    known = [one for one in promised if one[2] is not None]
     ratio, row, figure = ranking(found, (*TODAY, *AHEAD))[0]
-    return ranking(found, tuple(promised))[0][0], ratio, f"{row.what} ({figure.mark if figure else UNTOLD})"
+    what = f"{row.what} ({figure.mark if figure else UNTOLD})"
+    return max((one[0] for one in known), default=0.0), len(known), len(promised), ratio, what
--- a/tests/capacity/test_page.py
+++ b/tests/capacity/test_page.py
@@ -58,6 +58,9 @@
     name = "day.ordinary.staleness_999_s"
     good, bad = ({name: series(name, (2200, value))} for value in (1.0, 26.0))
     assert page.worst(good)[0] < 1 and page.worst(bad)[0] == pytest.approx(2.0)
+    assert page.worst(good)[1] == 1 and page.worst({})[1] == 0  # what was not measured is not held
+    full = page.worst(data.read())
+    assert full[0] <= 1 and full[1] == full[2]
 
 
 def test_points_are_kept_whole_and_replaced_by_name(tmp_path: Path) -> None:
