--- a/bench/scale/data.py
+++ b/bench/scale/data.py
@@ -47,6 +47,11 @@
     power: tuple[float, float]  # of the last two points: value = c n^k
     largest: float
 
+    def between(self, size: float) -> float:
+        """By the power that goes through the last two points."""
+        c, k = self.power
+        return c * float(size**k)
+
     def at(self, size: float) -> float:
         if self.line is not None:
             return self.line[0] + self.line[1] * size
