--- a/bench/scale/page.py
+++ b/bench/scale/page.py
@@ -91,7 +91,7 @@
     "restart": "all proxies restarted in 5 minutes",
     "service": "a service of 1,000 replaced",
     "burst": "500 changes in a second",
-    "flap": "a tenth of all backends go and come, 10 s",
+    "flap": "20,000 backends go and come, 10 s",
     "wrong": "wrong configuration of a cell",
     "wrong_all": "wrong everything, back after 20 s",
     "wrong_soon": "wrong everything, back after 5 s",
