Log and count list changes, retries, unserved requests and closed connections

Change: structured, rate limited events (net/log.py), counters by reason (net/counts.py) at /ops/stats, and a reason on each refusal and failure of the decision module. Requests are named by id only. Behaviour is as before. tests/ops/test_figures.py expects the new lines in addition to the old ones, still exactly.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -21,9 +21,10 @@
 from flintlatch.api import ListKind, Settings
 from flintlatch.net.backends import split_descriptors
 from flintlatch.net.discovery import Discovery, Listing, read_listing
-from flintlatch.net.engine import Engine, log
+from flintlatch.net.engine import Engine
 from flintlatch.net.frontend import open_listener
 from flintlatch.net.http1 import split_address
+from flintlatch.net.log import log
 from flintlatch.ops.admin import AdminServer
 from flintlatch.ops.staff import Operations
 from flintlatch.ops.succession import HotRestart, find_predecessor
@@ -111,7 +112,9 @@
         config = Config({name: value for name, value in env.items() if name != "LB_DISCOVERY"})
     except Malformed as error:
         log(f"reload: {error}; going on as before")
+        log.event("reload_failed", discovery=engine.discovery.address if engine.discovery else None)
         return
+    log.event("reload", discovery=config.discovery)
     engine.change_list_address(config.discovery)
 
 
@@ -139,11 +142,15 @@
         operations = Operations(engine, frontend, list(config.wire.classes))
         admin = await AdminServer.open(config.admin, operations)
     log(f"{config.name} listens on {frontend.address}")
+    log.event(
+        "started", pid=os.getpid(), revision=engine.list_revision, servers=len(engine.backends.backends)
+    )
     # Objects from the start live as long as the process: excluded from garbage collection during requests.
     gc.collect()
     gc.freeze()
     await stop.wait()
     log("stopping")
+    log.event("stopping", open_requests=engine.open_requests(), successor=restart.successor_serves)
     if restart.successor_serves:
         frontend.disable_keep_alive(address_still_served=True)
         restart.close()
--- a/flintlatch/api.py
+++ b/flintlatch/api.py
@@ -50,6 +50,21 @@
 NEVER_RAN = frozenset({Result.FULL, Result.CONNECT_FAILED, Result.NOT_SENT, Result.NO_ROOM})
 
 
+class EndReason(Enum):
+    """Why a request was refused or failed."""
+
+    RATE_LIMIT = "rate_limit"  # no token of a limit that all fleets share
+    SHED = "shed"  # overload
+    TRANSFER_LIMIT = "transfer_limit"
+    NO_TIME = "no_time"  # it arrived with too little time left
+    NO_SERVER = "no_server"  # it waited while the list had no active server
+    QUEUE_TIMEOUT = "queue_timeout"  # it waited too long for a server with capacity
+    NOT_RETRIED = "not_retried"  # its last attempt failed, and another one is not permitted or not useful
+    RETRY_BUDGET = "retry_budget"  # its last attempt failed, and the retry budget is used up
+    DEADLINE = "deadline"  # the client's deadline passed
+    MODULE_FAILED = "module_failed"  # the decision module was replaced
+
+
 class ServerState(Enum):
     ACTIVE = "active"
     DRAINING = "draining"
@@ -293,12 +308,14 @@
 
     request: str
     retry_after_ms: float
+    reason: EndReason = EndReason.NOT_RETRIED
 
 
 class Fail(NamedTuple):
     """Final answer: the request may have been executed."""
 
     request: str
+    reason: EndReason = EndReason.NOT_RETRIED
 
 
 class Cancel(NamedTuple):
--- a/flintlatch/choice.py
+++ b/flintlatch/choice.py
@@ -39,6 +39,7 @@
     DiscoveryServiceChanged,
     Effect,
     Ejection,
+    EndReason,
     Event,
     Fail,
     LimitAllocation,
@@ -538,7 +539,7 @@
         )
         self.requests[event.request] = request
         if self.buckets and (limit_wait_ms := self.take_limit_tokens(now, event)):
-            self.refuse(request, limit_wait_ms)
+            self.refuse(request, EndReason.RATE_LIMIT, limit_wait_ms)
             return
         if level >= PROPORTIONAL_SHED_LEVEL:
             ratio = queue.overload_ratio(now)
@@ -558,13 +559,13 @@
             if self.rng.random() < (
                 1 - readmitted if level == FIRST_SHED_LEVEL and shed else ratio / PROPORTIONAL_SHED_RATIO - 1
             ):
-                self.refuse(request)
+                self.refuse(request, EndReason.SHED)
                 return
         if request.is_transfer() and not self.accepts_transfer(request):
-            self.refuse(request)
+            self.refuse(request, EndReason.TRANSFER_LIMIT)
         elif request.useful_until <= now + 2 * self.settings.tick_ms:
             # No later batch could answer it in time.
-            self.end_request(request)
+            self.end_request(request, EndReason.NO_TIME)
         else:
             self.admitted += 1
             if not (self.large_tier and self.send_to_cold(now, request)):
@@ -906,11 +907,11 @@
         """Retries, refuses or fails a request whose last open attempt has failed."""
         spec, executed = request.spec, request.first_execution()
         if result in (Result.NOT_SENT, Result.INVALID) or not self.may_retry(now, request):
-            self.end_request(request)
+            self.end_request(request, EndReason.NOT_RETRIED)
         elif executed is None:
             self.enqueue(request, True)
         elif self.retry_budget < 1:
-            self.end_request(request)
+            self.end_request(request, EndReason.RETRY_BUDGET)
         elif spec.effect is Effect.SAFE:
             self.retry_budget -= 1
             self.enqueue(request, True)
@@ -939,15 +940,15 @@
             else:
                 self.scoped_retries.append(request)
 
-    def end_request(self, request: Request) -> None:
+    def end_request(self, request: Request, reason: EndReason) -> None:
         """Gives the final answer to a request that will not be sent again."""
         if self.settings.refuse_unsent and request.first_execution() is None:
-            self.refuse(request)
+            self.refuse(request, reason)
             return
-        self.actions.append(Fail(request.id))
+        self.actions.append(Fail(request.id, reason))
         self.finish(request)
 
-    def refuse(self, request: Request, limit_wait_ms: float = 0.0) -> None:
+    def refuse(self, request: Request, reason: EndReason, limit_wait_ms: float = 0.0) -> None:
         """Refuses a request and advises the client when to retry.
 
         That is when the rate limit that rejected it has a token (`limit_wait_ms`), or else the time over
@@ -960,7 +961,7 @@
         self.expected_retries = min(
             self.expected_retries + EXPECTED_RETRIES_PER_REJECTION, EXPECTED_RETRIES_MAX
         )
-        self.actions.append(Refuse(request.id, wait if self.settings.retry_after else 0.0))
+        self.actions.append(Refuse(request.id, wait if self.settings.retry_after else 0.0, reason))
         self.finish(request)
 
     def finish(self, request: Request) -> None:
@@ -1244,7 +1245,7 @@
         would take the capacity of a request that can still be on time.
         """
         if request.queue.overload_ratio(now) > 1 or now >= request.send_by:
-            self.end_request(request)
+            self.end_request(request, EndReason.QUEUE_TIMEOUT if self.active else EndReason.NO_SERVER)
         else:
             self.schedule(min(now + 2 * HOUSEKEEPING_INTERVAL_MS, request.send_by), request)
 
@@ -1447,7 +1448,7 @@
                 spare -= not request.uploading
                 self.send(now, request, server)
             else:  # no server fits: in the queue it would block requests that do fit
-                self.end_request(request)
+                self.end_request(request, EndReason.TRANSFER_LIMIT)
             if fitting and not server.has_capacity(now, self.min_server_limit):
                 ready.remove(server)
             heads = [(q, h) for q in self.queues if (h := q.head()) is not None]
--- a/flintlatch/http/front.py
+++ b/flintlatch/http/front.py
@@ -19,6 +19,7 @@
 from flintlatch.http.rules import RoutingRules
 from flintlatch.http.sockets import MAX_READ_BYTES, WRITE_HIGH_WATER_BYTES, limit_socket_buffers, write_body
 from flintlatch.net.clock import now_ms
+from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Answer
 from flintlatch.net.frontend import READY_PATH, REASON_PHRASES, Client, Frontend
 from flintlatch.net.relay import Refusal, RelayEngine
@@ -334,8 +335,8 @@
             return
         self.frontend.loop.call_soon(self.process_buffer)
 
-    def close_lingering(self) -> None:
-        super().close_lingering()
+    def close_lingering(self, reason: CloseReason = CloseReason.LAST_RESPONSE) -> None:
+        super().close_lingering(reason)
         self.buffer.clear()
         self.reading = True
 
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import traceback
 from collections.abc import Callable
 from dataclasses import replace
@@ -17,6 +16,7 @@
     Cancel,
     ClientDisconnected,
     DiscoveryServiceChanged,
+    EndReason,
     Event,
     Fail,
     ListKind,
@@ -28,6 +28,7 @@
     Result,
     Send,
     ServerList,
+    ServerState,
     SetTimer,
     Settings,
     TierMembership,
@@ -37,46 +38,22 @@
 from flintlatch.choice import Balancer
 from flintlatch.net.backends import Attempt, Backends
 from flintlatch.net.clock import now_ms
+from flintlatch.net.counts import Counts, ListEvent, RetryEvent
 from flintlatch.net.discovery import Discovery, Listing
 from flintlatch.net.http1 import Response
+from flintlatch.net.log import log, request_log
 from flintlatch.settings import Malformed, SocketSettings
 
 MODULE_RESTART_DELAY_S = 0.1  # between the failure of a decision module and the first step of the next
 SAVED_LIST_DELAY_S = 1.0  # for the first response of an agent; then the saved list is used
 MIN_ID_RETENTION_S = 4.0  # for request ids, counted from the arrival: no client waits for longer
 MAX_RECENT_IDS = 20_000
-MAX_LOG_LINES_PER_S = 20  # so that a flood of log lines can't block the proxy
+LIST_FAILURE_LOG_INTERVAL_MS = 1000.0  # between two log lines on failures with the same reason
 # The headers that a client needs to read the body. All others concern only the proxy and the backend.
 FORWARDED_RESPONSE_HEADERS = (b"content-type", b"content-encoding", b"content-language")
 PROBE_HEAD = b"GET /stats HTTP/1.1\r\nhost: backend.local\r\n"
 
 
-class Logger:
-    """Writes at most MAX_LOG_LINES_PER_S lines to standard error; the next line tells how many were
-    dropped."""
-
-    def __init__(self) -> None:
-        self.second, self.lines, self.dropped = 0, 0, 0
-
-    def __call__(self, line: str) -> None:
-        second = int(now_ms() / 1000)
-        if second != self.second:
-            self.second, self.lines = second, 0
-        self.lines += 1
-        if self.lines > MAX_LOG_LINES_PER_S:
-            self.dropped += 1
-            return
-        if self.dropped:
-            line, self.dropped = f"{line} ({self.dropped} lines before this one were dropped)", 0
-        self.write(line)
-
-    def write(self, line: str) -> None:
-        print(f"flintlatch: {line}", file=sys.stderr, flush=True)
-
-
-log = Logger()
-
-
 class Answer(NamedTuple):
     """A complete response to a client."""
 
@@ -132,7 +109,11 @@
         self.recent_ids: dict[str, float] = {}  # ids of recent requests with their arrival time, oldest first
         self.max_deadline_ms = max(c.deadline_ms for c in settings.classes)
         self.list_revision = 0  # of the present list
+        self.list_updated_ms = now_ms()  # when the service last confirmed the present list
         self.list_failure = ""  # reason of the last failed poll; empty after a success
+        self.list_failures = 0  # failed polls in a row
+        self.list_failure_logged_ms = -inf
+        self.counts = Counts()
         self.list_events: list[ServerList] = []
         self.events: list[Event] = []
         self.to_forget: list[PendingRequest] = []  # to be removed after the step that reports their end
@@ -159,13 +140,37 @@
             and kind is not ListKind.SAVED
         ):
             raise Malformed("list: the snapshot has no server, but the present list has")
-        self.list_failure = ""
+        self.list_failure, self.list_failures = "", 0
+        before = self._server_states()
         # The pools get a drain immediately, before any other request of this loop turn is written.
         self.list_revision = listing.revision
         self.backends.update(listing.targets, listing.is_snapshot)
         kind = kind or (ListKind.SNAPSHOT if listing.is_snapshot else ListKind.DELTA)
         self.list_events.append(ServerList(kind, tuple(target.info for target in listing.targets)))
         self._schedule_step()
+        self._report_list(kind, before)
+
+    def _server_states(self) -> dict[str, ServerState]:
+        return {uid: backend.target.info.state for uid, backend in self.backends.backends.items()}
+
+    def _report_list(self, kind: ListKind, before: dict[str, ServerState]) -> None:
+        """Counts an applied list, and logs it if a server was added, changed its state or was removed."""
+        self.counts.add(ListEvent.APPLIED)
+        age_ms, self.list_updated_ms = now_ms() - self.list_updated_ms, now_ms()
+        after = self._server_states()
+        if after == before or kind is ListKind.SAVED:
+            return
+        log.event(
+            "list_applied",
+            revision=self.list_revision,
+            kind=kind.value,
+            servers=len(after),
+            active=sum(state is ServerState.ACTIVE for state in after.values()),
+            added=sum(uid not in before for uid in after),
+            changed=sum(uid in before and before[uid] is not state for uid, state in after.items()),
+            removed=sum(uid not in after for uid in before),
+            previous_age_ms=age_ms,
+        )
 
     def watch_agent(self, saved: Listing) -> None:
         """Polls an agent on this machine. `saved` is used only if the agent does not respond or has no
@@ -176,11 +181,23 @@
 
     def _use_saved_list(self, saved: Listing) -> None:
         if not self.backends.backends:
+            log.event("saved_list_used", revision=saved.revision, servers=len(saved.targets))
             self.on_list(saved, ListKind.SAVED)
 
     def on_list_failure(self, reason: str) -> None:
-        if reason != self.list_failure:  # logged once, not for each poll that fails
-            log(f"list: {reason}")
+        self.counts.add(ListEvent.FAILED)
+        self.list_failures += 1
+        now = now_ms()
+        if reason != self.list_failure or now - self.list_failure_logged_ms >= LIST_FAILURE_LOG_INTERVAL_MS:
+            self.list_failure_logged_ms = now
+            log.event(
+                "list_failed",
+                reason=reason,
+                failures=self.list_failures,
+                revision=self.list_revision,
+                servers=len(self.backends.backends),
+                age_ms=now - self.list_updated_ms,
+            )
         self.list_failure = reason
         if self.settings.ask_for_list:
             self.list_events.append(ServerList(ListKind.FAILED))
@@ -189,7 +206,7 @@
     def change_list_address(self, address: str) -> None:
         """Polls another list service from now on; the present list stays in use until the first response."""
         if self.discovery is not None and self.discovery.change_address(address):
-            log(f"list: now from {address}")
+            log.event("list_service_changed", address=address, revision=self.list_revision)
             if self.settings.ask_for_list:
                 self._post_event(DiscoveryServiceChanged())
             else:
@@ -234,9 +251,39 @@
     def _on_deadline(self, pending: PendingRequest) -> None:
         """Answers a request that the decision module has not answered within the client's budget."""
         if not pending.completed:
+            self._count_unserved(pending, EndReason.DEADLINE)
             self._respond(pending, Answer(504))
             self._post_event(ClientDisconnected(pending.request.id))
 
+    def _count_unserved(self, pending: PendingRequest, reason: EndReason) -> None:
+        """Counts and logs a request that gets a final answer of the proxy's own."""
+        self.counts.add(reason)
+        attempts = pending.attempts
+        request_log.event(
+            "request_not_served",
+            id=pending.request.id,
+            reason=reason.value,
+            attempts=len(attempts),
+            last_server=attempts[-1].uid if attempts else None,
+            last_result=attempts[-1].result.value if attempts and attempts[-1].result else None,
+            age_ms=now_ms() - pending.arrived_ms,
+        )
+
+    def _count_attempt(self, pending: PendingRequest, number: int, attempt: Attempt) -> None:
+        """Counts a new attempt if it is a further one, and logs it with the result of the previous one."""
+        if not number:
+            return
+        self.counts.add(RetryEvent.SENT)
+        previous = pending.attempts[number - 1]
+        request_log.event(
+            "retry",
+            id=pending.request.id,
+            attempt=number,
+            server=attempt.uid,
+            previous_server=previous.uid,
+            previous_result=previous.result.value if previous.result else "open",
+        )
+
     def fail_all(self) -> None:
         """Answers all open requests as expired, when the proxy stops."""
         for pending in list(self.requests.values()):
@@ -263,6 +310,7 @@
             )
             self._respond(pending, Answer(200, headers, response.body))
         delay = now_ms() - attempt.start_ms
+        self.counts.add(result)
         self._post_event(Outcome(pending.request.id, number, result, delay, pending.completed))
         self._forget_if_finished(pending)
 
@@ -335,6 +383,7 @@
             for attempt in pending.attempts:
                 self.backends.cancel(attempt)
             if not pending.completed:
+                self._count_unserved(pending, EndReason.MODULE_FAILED)
                 self._respond(pending, Answer(500))
 
     def _execute(self, action: Action) -> None:
@@ -343,6 +392,7 @@
         elif isinstance(action, (Refuse, Fail)):
             pending = self.requests.get(action.request)
             if pending is not None and not pending.completed:
+                self._count_unserved(pending, action.reason)
                 self._respond(pending, refusal_answer(action) if isinstance(action, Refuse) else Answer(504))
         elif isinstance(action, Cancel):
             pending = self.requests.get(action.request)
@@ -377,6 +427,7 @@
         if pending.completed or number >= self.settings.max_attempts:
             attempt.end(Result.NOT_SENT)
         else:
+            self._count_attempt(pending, number, attempt)
             self.backends.start(attempt)
 
     def close(self) -> None:
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -12,8 +12,10 @@
 import httptools
 
 from flintlatch.net.clock import now_ms
-from flintlatch.net.engine import Answer, Engine, log
+from flintlatch.net.counts import CloseReason
+from flintlatch.net.engine import Answer, Engine
 from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Headers, has_unread_data, peer_closed, split_address
+from flintlatch.net.log import log
 from flintlatch.net.request import Message, Reader, RequestError, check_framing
 
 LISTEN_BACKLOG = 512
@@ -193,7 +195,7 @@
     def on_read_timeout(self) -> None:
         """Handles a client that has not sent a complete request in time."""
         if not self.request_started:
-            self.close_when_idle()
+            self.close_when_idle(CloseReason.READ_TIMEOUT)
         elif not self._head_done or now_ms() - self.last_data_ms > BODY_IDLE_TIMEOUT_S * 1000:
             self._reject(408)
             self._process()
@@ -297,18 +299,20 @@
         if not keep:
             self.close_lingering()
         elif self.transport.get_write_buffer_size() > MAX_UNREAD_RESPONSE_BYTES:
+            self.frontend.engine.counts.add(CloseReason.UNREAD_RESPONSES)
             self.transport.abort()
 
-    def close_when_idle(self) -> None:
+    def close_when_idle(self, reason: CloseReason = CloseReason.IDLE) -> None:
         """Closes between two requests, unless the next one has just arrived, which is answered first. A
         request that arrives later is dropped, and its client sends it again elsewhere."""
         if not self.transport.is_closing() and not has_unread_data(self.transport):
-            self.close_lingering()
+            self.close_lingering(reason)
 
-    def close_lingering(self) -> None:
+    def close_lingering(self, reason: CloseReason = CloseReason.LAST_RESPONSE) -> None:
         """Closes after the written responses (lingering close). If the connection were closed at once with
         unread bytes, the kernel would reset it and the client could lose its response, so the client may
         close first."""
+        self.frontend.engine.counts.add(reason)
         self.closing, self.unparsed = True, b""
         self.queue.clear()
         self.transport.resume_reading()
@@ -429,6 +433,7 @@
                 self._retry_accepting_later()
                 return
             if evicted is not None:  # only after a connection was accepted that replaces it
+                self.engine.counts.add(CloseReason.EVICTED)
                 self.move_client(evicted, None)
                 evicted.transport.abort() if evicted.closing else evicted.transport.close()
             self.connection_count += 1
@@ -489,6 +494,7 @@
         for client in self._overdue(self.reading_clients, REQUEST_READ_TIMEOUT_S):
             client.on_read_timeout()
         for client in self._overdue(self.lingering_clients, LINGER_TIMEOUT_S):
+            self.engine.counts.add(CloseReason.LINGER_TIMEOUT)
             client.transport.abort()
         idle_s = (
             CROWDED_IDLE_TIMEOUT_S if self.connection_count > self.max_connections / 2 else IDLE_TIMEOUT_S
--- /dev/null
+++ b/flintlatch/net/log.py
@@ -0,0 +1,73 @@
+"""The log on standard error: free text, and events as `key=value` fields. Rate limited, so that a flood of
+lines can't block the proxy.
+
+An event line starts with `event=NAME t=SECONDS`, with the Unix time of the proxy's clock. No line contains a
+body or a header of a request; a request is named by its id only.
+"""
+
+from __future__ import annotations
+
+import re
+import sys
+
+from flintlatch.net.clock import now_ms
+
+MAX_LINES_PER_S = 20
+MAX_REQUEST_LINES_PER_S = 5  # separate, so that many failing requests don't suppress the state transitions
+
+# Other values are quoted.
+PLAIN_VALUE = re.compile(r"[!#-<>-~]+")
+
+Field = str | int | float | bool | None
+
+
+class Logger:
+    """Writes at most `max_lines_per_s` lines to standard error; the next line tells how many were dropped."""
+
+    def __init__(self, max_lines_per_s: int = MAX_LINES_PER_S) -> None:
+        self.max_lines_per_s = max_lines_per_s
+        self.second, self.lines, self.dropped = 0, 0, 0
+
+    def __call__(self, line: str) -> None:
+        if not self._admit():
+            return
+        if self.dropped:
+            line, self.dropped = f"{line} ({self.dropped} lines before this one were dropped)", 0
+        self.write(line)
+
+    def event(self, name: str, **fields: Field) -> None:
+        """Writes one event; fields that are None are left out."""
+        if not self._admit():
+            return
+        if self.dropped:
+            fields["dropped_lines"], self.dropped = self.dropped, 0
+        given = "".join(f" {key}={field_text(value)}" for key, value in fields.items() if value is not None)
+        self.write(f"event={name} t={now_ms() / 1000:.3f}{given}")
+
+    def _admit(self) -> bool:
+        """Counts a line. False if the limit of this second is reached."""
+        second = int(now_ms() / 1000)
+        if second != self.second:
+            self.second, self.lines = second, 0
+        self.lines += 1
+        if self.lines <= self.max_lines_per_s:
+            return True
+        self.dropped += 1
+        return False
+
+    def write(self, line: str) -> None:
+        print(f"flintlatch: {line}", file=sys.stderr, flush=True)
+
+
+def field_text(value: Field) -> str:
+    """The value as one word, or quoted."""
+    if isinstance(value, float):
+        return f"{value:.1f}"
+    text = str(value).lower() if isinstance(value, bool) else str(value)
+    if PLAIN_VALUE.fullmatch(text):
+        return text
+    return '"' + text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
+
+
+log = Logger()
+request_log = Logger(MAX_REQUEST_LINES_PER_S)
--- a/flintlatch/net/relay.py
+++ b/flintlatch/net/relay.py
@@ -13,6 +13,7 @@
     BodyForwarded,
     BodyReceived,
     ClientDisconnected,
+    EndReason,
     Outcome,
     ResponseStarted,
     Result,
@@ -32,8 +33,9 @@
 )
 from flintlatch.net.backends import Attempt, Backend, Backends, Connection
 from flintlatch.net.clock import now_ms
-from flintlatch.net.engine import AcceptedRequest, Answer, Engine, PendingRequest, log
+from flintlatch.net.engine import AcceptedRequest, Answer, Engine, PendingRequest
 from flintlatch.net.http1 import Response as WholeResponse
+from flintlatch.net.log import log
 from flintlatch.settings import SocketSettings
 
 # For the rest of a short request: most arrive in one or two segments. After this time the request is offered
@@ -250,6 +252,7 @@
         if pending.completed:
             return
         never_ran = all(attempt.result in NEVER_RAN for attempt in pending.attempts)
+        self._count_unserved(pending, EndReason.DEADLINE)
         self._post_event(ClientDisconnected(pending.request.id))
         self._respond(
             pending, Answer(503, retry_after_ms=DEFAULT_RETRY_AFTER_MS) if never_ran else Answer(504)
@@ -261,7 +264,7 @@
         for exchange in list(self.exchanges.values()):
             stall = exchange.tick(now_s)
             if stall is not None:
-                log(f"{exchange.routing.id}: {stall.value}")
+                log.event("transfer_stalled", id=exchange.routing.id, reason=stall.value)
 
     # Actions of the decision module
 
@@ -302,6 +305,7 @@
         if pending.completed or number >= self.settings.max_attempts or exchange.upload.discarded:
             attempt.end(Result.NOT_SENT)
         else:
+            self._count_attempt(pending, number, attempt)
             self.backends.start(attempt)
 
     def _on_relay_attempt_end(
@@ -320,6 +324,7 @@
             delay = attempt.stream_started.latency_ms
         else:
             delay = now_ms() - (attempt.request_sent_ms or attempt.start_ms)
+        self.counts.add(result)
         self._post_event(Outcome(pending.request.id, number, result, delay, pending.completed))
         self._forget_if_finished(pending)
 
--- a/flintlatch/ops/figures.py
+++ b/flintlatch/ops/figures.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from enum import Enum
 from typing import NamedTuple
 
@@ -27,6 +27,8 @@
     pending: int  # requests accepted and not ended
     members: int  # servers on the list
     members_unavailable: int  # of these, the servers that get no new requests
+    list_age_ms: int = 0  # since the list service last confirmed the list
+    list_revision: int = 0
 
 
 def outcome_of_status(status: int) -> ClientOutcome:
@@ -50,13 +52,15 @@
         """Counts the final response of a request of this class."""
         self.counts_by_outcome[outcome][cls] += 1
 
-    def lines(self, gauges: Gauges) -> str:
-        """All metrics as StatsD lines. Every class is included from the start, with zero counts."""
+    def lines(self, gauges: Gauges, event_counts: Iterable[tuple[str, int]] = ()) -> str:
+        """All metrics as StatsD lines. Every class is included from the start, with zero counts.
+        `event_counts`: further counters by name."""
         lines = [
             f"{NAME_PREFIX}.{outcome.value}.{name}:{count}|c"
             for outcome, counts in self.counts_by_outcome.items()
             for name, count in zip(self.classes, counts, strict=True)
         ]
         lines.append(f"{NAME_PREFIX}.upstream_requests:{self.upstream_requests}|c")
+        lines += [f"{NAME_PREFIX}.{name}:{count}|c" for name, count in event_counts]
         lines += [f"{NAME_PREFIX}.{name}:{value}|g" for name, value in gauges._asdict().items()]
         return "".join(f"{line}\n" for line in lines)
--- a/flintlatch/ops/staff.py
+++ b/flintlatch/ops/staff.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from flintlatch.net.engine import Engine, log
+from flintlatch.net.clock import now_ms
+from flintlatch.net.engine import Engine
 from flintlatch.net.frontend import Frontend
+from flintlatch.net.log import log
 from flintlatch.ops.figures import Gauges, StatsdMetrics, outcome_of_status
 
 
@@ -29,7 +31,9 @@
         members = len(engine.backends.backends)
         # A new list is in the pools at once, but reaches the decision module in the next loop turn.
         unavailable = min(engine.unavailable_servers(), members)
-        return self.metrics.lines(Gauges(engine.open_requests(), members, unavailable))
+        age_ms = int(now_ms() - engine.list_updated_ms)
+        gauges = Gauges(engine.open_requests(), members, unavailable, age_ms, engine.list_revision)
+        return self.metrics.lines(gauges, engine.counts.items())
 
     def start_drain(self) -> None:
         if not self.frontend.drained_by_operator:
--- a/flintlatch/ops/succession.py
+++ b/flintlatch/ops/succession.py
@@ -10,9 +10,10 @@
 
 from flintlatch import handover
 from flintlatch.net.backends import split_descriptors
-from flintlatch.net.engine import Engine, log
+from flintlatch.net.engine import Engine
 from flintlatch.net.frontend import Frontend
 from flintlatch.net.http1 import split_address
+from flintlatch.net.log import log
 
 
 class Predecessor(NamedTuple):
--- a/flintlatch/platform/front.py
+++ b/flintlatch/platform/front.py
@@ -9,6 +9,7 @@
 
 from flintlatch.exchange import BodyTooLarge, Exchange, Fields, Piece, ProxyResponse, Response, RoutingInfo
 from flintlatch.net.clock import now_ms
+from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Answer
 from flintlatch.net.frontend import READY_PATH, REASON_PHRASES, Client, Frontend
 from flintlatch.net.http1 import MAX_BODY, MAX_HEAD
@@ -277,9 +278,9 @@
         if not self.transport.is_closing() and not self.closing:
             self._process()
 
-    def close_lingering(self) -> None:
+    def close_lingering(self, reason: CloseReason = CloseReason.LAST_RESPONSE) -> None:
         self.incoming = None
-        super().close_lingering()
+        super().close_lingering(reason)
 
 
 class PlatformFrontend(Frontend):
--- a/tests/ops/test_figures.py
+++ b/tests/ops/test_figures.py
@@ -6,6 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from flintlatch.api import EndReason
+from flintlatch.net.counts import GROUPS, Counts
 from flintlatch.ops.calls import METHOD_OF_CALL, Call, CallError, read_call
 from flintlatch.ops.figures import ClientOutcome, Gauges, StatsdMetrics, outcome_of_status
 
@@ -29,11 +31,19 @@
     for cls, outcome in outcomes:
         metrics.count(cls, outcome)
     metrics.upstream_requests = 7
-    parsed = parse_statsd(metrics.lines(Gauges(3, 12, 2)))
+    counts = Counts()
+    counts.add(EndReason.NO_SERVER)
+    parsed = parse_statsd(metrics.lines(Gauges(3, 12, 2, 1500, 41), counts.items()))
     for index, name in enumerate(names):
         for outcome in ClientOutcome:
             assert parsed.pop(f"proxy.{outcome.value}.{name}") == (outcomes.count((index, outcome)), "c")
+    assert parsed.pop("proxy.not_served.no_server") == (1, "c")
+    for prefix, group in GROUPS.items():
+        for key in set(group) - {EndReason.NO_SERVER}:
+            assert parsed.pop(f"proxy.{prefix}.{key.value}") == (0, "c")
     assert parsed == {
+        "proxy.list_age_ms": (1500, "g"),
+        "proxy.list_revision": (41, "g"),
         "proxy.upstream_requests": (7, "c"),
         "proxy.pending": (3, "g"),
         "proxy.members": (12, "g"),
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -30,6 +30,7 @@
 )
 from flintlatch.net import engine as engine_module
 from flintlatch.net.clock import now_ms
+from flintlatch.net.log import MAX_LINES_PER_S, Logger
 from tests.loopback import proxy, run
 
 Step = Callable[[list[Any]], list[Action]]
@@ -306,10 +307,10 @@
 
 
 def test_a_flood_of_log_lines_is_limited_and_counted(capsys: pytest.CaptureFixture[str]) -> None:
-    log = engine_module.Logger()
+    log = Logger()
     for number in range(1000):
         log(f"line {number}")
     log.second -= 1  # the next second
     log("later")
     lines = capsys.readouterr().err.splitlines()
-    assert len(lines) < 3 * engine_module.MAX_LOG_LINES_PER_S and "were dropped" in lines[-1]
+    assert len(lines) < 3 * MAX_LINES_PER_S and "were dropped" in lines[-1]
