--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -42,7 +42,7 @@
 from flintlatch.net.discovery import Discovery, Listing
 from flintlatch.net.http1 import Response
 from flintlatch.net.log import log, request_log
-from flintlatch.settings import Malformed, SocketSettings
+from flintlatch.settings import SocketSettings
 
 MODULE_RESTART_DELAY_S = 0.1  # between the failure of a decision module and the first step of the next
 SAVED_LIST_DELAY_S = 1.0  # for the first response of an agent; then the saved list is used
@@ -131,15 +131,7 @@
     # Events from the sockets and the list service
 
     def on_list(self, listing: Listing, kind: ListKind | None = None) -> None:
-        """Applies a snapshot or a delta of the list. Raises Malformed for an empty snapshot while the present
-        list has servers: a service that recovers may send one, and it would leave no server for requests."""
-        if (
-            listing.is_snapshot
-            and not listing.targets
-            and self.backends.backends
-            and kind is not ListKind.SAVED
-        ):
-            raise Malformed("list: the snapshot has no server, but the present list has")
+        """Applies a snapshot or a delta of the list. An empty snapshot removes all servers."""
         self.list_failure, self.list_failures = "", 0
         before = self._server_states()
         # The pools get a drain immediately, before any other request of this loop turn is written.
