Read lists entry by entry: one bad entry no longer hides the drains of others

Seen by callers: new work at drained servers while the list also had an entry that the proxy can't read. Cause: read_listing raised Malformed for the whole list at its first bad entry, and Discovery kept asking from the same revision for the same list. Change: net/listing.py, taken out of net/discovery.py, skips and reports such entries; a server that a bad entry names stays as it is; a drain or removal needs no other member. The fleet's registry source follows. Why this works: what can be read is applied and the revision advances, so nothing is refused again and again.

--- a/bench/scale/lists.py
+++ b/bench/scale/lists.py
@@ -18,7 +18,8 @@
 from flintlatch.api import ListKind, ServerList
 from flintlatch.choice import Balancer
 from flintlatch.net.backends import Backends
-from flintlatch.net.discovery import MAX_LIST, Discovery, Listing, read_listing
+from flintlatch.net.discovery import MAX_LIST, Discovery
+from flintlatch.net.listing import Listing, read_listing
 from flintlatch.settings import SocketSettings
 from flintlatch.standin.proxy import ProxyProcess, configuration, free_address, write
 from flintlatch.standin.registry import Registry
--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -20,10 +20,11 @@
 
 from flintlatch.api import ListKind, Settings
 from flintlatch.net.backends import split_descriptors
-from flintlatch.net.discovery import Discovery, Listing, read_listing
+from flintlatch.net.discovery import Discovery
 from flintlatch.net.engine import Engine
 from flintlatch.net.frontend import open_listener
 from flintlatch.net.http1 import split_address
+from flintlatch.net.listing import Listing, read_listing
 from flintlatch.net.log import log
 from flintlatch.ops.admin import AdminServer
 from flintlatch.ops.staff import Operations
--- a/flintlatch/fleet/members.py
+++ b/flintlatch/fleet/members.py
@@ -36,7 +36,7 @@
 from flintlatch.membership.files import FileSource, load_version, make_file_source, save_version
 from flintlatch.membership.registry import RegistrySource
 from flintlatch.net.clock import now_ms
-from flintlatch.net.discovery import Listing, Target
+from flintlatch.net.listing import Listing, Target
 from flintlatch.settings import SocketSettings
 
 if TYPE_CHECKING:
--- a/flintlatch/fleet/nodes.py
+++ b/flintlatch/fleet/nodes.py
@@ -10,8 +10,8 @@
 from flintlatch.config import Config
 from flintlatch.fleet.members import NodeSources
 from flintlatch.net.clock import now_ms
-from flintlatch.net.discovery import SERVER_STATES, Listing, Target
 from flintlatch.net.http1 import split_address
+from flintlatch.net.listing import SERVER_STATES, Listing, Target
 
 if TYPE_CHECKING:
     from flintlatch.fleet.delivered import DeliveryFeeds
--- a/flintlatch/fleet/supervisor.py
+++ b/flintlatch/fleet/supervisor.py
@@ -29,7 +29,7 @@
 from flintlatch.fleet.status import report, summary
 from flintlatch.metrics import Totals
 from flintlatch.net.clock import now_ms
-from flintlatch.net.discovery import Listing
+from flintlatch.net.listing import Listing
 
 if TYPE_CHECKING:
     from flintlatch.fleet.agreed import PeerService
--- a/flintlatch/fleet/worker.py
+++ b/flintlatch/fleet/worker.py
@@ -27,9 +27,9 @@
 from flintlatch.handover import Offer
 from flintlatch.net.backends import split_descriptors
 from flintlatch.net.clock import now_ms
-from flintlatch.net.discovery import read_listing
 from flintlatch.net.engine import Engine
 from flintlatch.net.frontend import ACCEPTS_PER_TURN_SHARED, Frontend
+from flintlatch.net.listing import read_listing
 from flintlatch.net.log import log
 from flintlatch.net.request import Reader
 from flintlatch.settings import Malformed
--- a/flintlatch/membership/registry.py
+++ b/flintlatch/membership/registry.py
@@ -9,7 +9,8 @@
 from flintlatch.membership.core import Event, SourceFailed, VersionOffered
 from flintlatch.membership.model import Node, NodeState, Version
 from flintlatch.net.clock import now_ms
-from flintlatch.net.discovery import Discovery, Listing, Target
+from flintlatch.net.discovery import Discovery
+from flintlatch.net.listing import Listing, Target
 from flintlatch.settings import SocketSettings
 
 RETRY_DELAY_RANGE_S = (0.1, 2.0)  # first and longest delay after a failed call; doubled each time
@@ -53,10 +54,15 @@
         self.retry_delay_s = RETRY_DELAY_RANGE_S[0]
         zones = {number: name for name, number in self.socket_settings.zones.items()}
         kinds = {number: name for name, number in self.socket_settings.kinds.items()}
-        nodes = {} if listing.is_snapshot else dict(self.nodes)
+        nodes = dict(self.nodes)
+        if listing.is_snapshot:
+            nodes = {uid: node for uid, node in nodes.items() if uid in listing.unchanged}
         for target in listing.targets:
             if target.info.state is ServerState.GONE:
                 nodes.pop(target.uid, None)
+            elif not target.host:  # a drain without an address
+                if (held := self.nodes.get(target.uid)) is not None:
+                    nodes[target.uid] = held._replace(state=NodeState.DRAINING)
             else:
                 nodes[target.uid] = node_from_target(target, zones, kinds)
         if nodes != self.nodes or not self.version_number:
--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -9,8 +9,8 @@
 
 from flintlatch.api import Result, ServerState
 from flintlatch.net.clock import now_ms
-from flintlatch.net.discovery import Target
 from flintlatch.net.http1 import Http1Connection, Response, has_unread_data
+from flintlatch.net.listing import Target
 
 # Fraction of a backend's idle limit after which the proxy closes an idle connection. A connection reused just
 # as the backend closes it would end in a reset.
--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -4,25 +4,13 @@
 
 import asyncio
 from collections.abc import Callable
-from ipaddress import ip_address
-from typing import NamedTuple
 
 import orjson
 
-from flintlatch.api import ServerInfo, ServerState
 from flintlatch.net.http1 import Http1Connection, Response, split_address
-from flintlatch.settings import (
-    Malformed,
-    SocketSettings,
-    require_array,
-    require_choice,
-    require_integer,
-    require_number,
-    require_object,
-    require_string,
-)
-
-SERVER_STATES = {"active": ServerState.ACTIVE, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
+from flintlatch.net.listing import Listing, read_listing
+from flintlatch.settings import Malformed, SocketSettings
+
 # A change counts as known to the proxy PROPAGATION_LIMIT_MS after the service had it, whether or not it
 # arrived; what a silent long poll misses counts as known that long after its silence began. The response to
 # the next poll must therefore arrive within this limit, whatever becomes of one poll. With the decision
@@ -45,59 +33,6 @@
 MAX_LIST = 1024 * 1024  # bytes, about 8,000 servers; the process may have only 32 MB of memory
 
 
-class Target(NamedTuple):
-    """A server on the list with its address."""
-
-    uid: str
-    host: str
-    port: int
-    info: ServerInfo
-
-
-class Listing(NamedTuple):
-    """A snapshot of the list, or a delta with the servers that changed."""
-
-    revision: int
-    is_snapshot: bool
-    targets: tuple[Target, ...]
-
-
-def zone_or_kind_number(names: dict[str, int], value: object, member: str) -> int:
-    """The number of a zone or kind. A name that the settings do not list gets the next free number."""
-    if value is None:
-        return 0
-    return value if type(value) is int else names.setdefault(require_string(value, member), len(names))
-
-
-def read_target(raw: object, wire: SocketSettings) -> Target:
-    entry = require_object(raw, "targets")
-    uid, started = require_string(entry["uid"], "uid"), entry.get("boot_ms")
-    host, port = split_address(require_string(entry["endpoint"], "endpoint"))
-    ip_address(host)  # raises ValueError for a host name: there is no DNS to resolve it
-    info = ServerInfo(
-        uid,
-        require_choice(SERVER_STATES, entry["state"], "state"),
-        zone_or_kind_number(wire.zones, entry.get("az"), "az"),
-        zone_or_kind_number(wire.kinds, entry.get("model"), "model"),
-        require_integer(entry.get("pod_group") or 0, "pod_group"),
-        require_number(started, "boot_ms") if started else None,
-        require_number(entry.get("capacity_hint") or 1, "capacity_hint"),
-    )
-    return Target(uid, host, port, info)
-
-
-def read_listing(raw: object, wire: SocketSettings) -> Listing:
-    """Checks a decoded list and converts it. Raises Malformed."""
-    try:
-        data = require_object(raw, "list")
-        targets = tuple(read_target(entry, wire) for entry in require_array(data["targets"], "targets"))
-        return Listing(require_integer(data["rev"], "rev"), data["all"] is True, targets)
-    except KeyError as error:
-        raise Malformed(f"list: {error.args[0]} is missing") from None
-    except ValueError as error:
-        raise Malformed(f"list: {error}") from None
-
-
 class ListConnection(Http1Connection):
     """A persistent connection to the list service, with one request at a time."""
 
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -39,8 +39,9 @@
 from flintlatch.net.backends import Attempt, Backends
 from flintlatch.net.clock import now_ms
 from flintlatch.net.counts import Counts, ListEvent, RetryEvent
-from flintlatch.net.discovery import Discovery, Listing
+from flintlatch.net.discovery import Discovery
 from flintlatch.net.http1 import Response
+from flintlatch.net.listing import Listing
 from flintlatch.net.log import log, request_log
 from flintlatch.settings import SocketSettings
 
@@ -134,6 +135,8 @@
         """Applies a snapshot or a delta of the list. An empty snapshot removes all servers."""
         self.list_failure, self.list_failures = "", 0
         before = self._server_states()
+        self._report_faults(listing)
+        listing = self._resolve(listing)
         # The pools get a drain immediately, before any other request of this loop turn is written.
         self.list_revision = listing.revision
         self.backends.update(listing.targets, listing.is_snapshot)
@@ -142,6 +145,34 @@
         self._schedule_step()
         self._report_list(kind, before)
 
+    def _resolve(self, listing: Listing) -> Listing:
+        """Completes the entries that lack an address, and adds the servers that stay as they are."""
+        targets = []
+        for target in listing.targets:
+            held = self.backends.backends.get(target.uid)
+            if target.host:
+                targets.append(target)
+            elif held is not None:
+                info = held.target.info._replace(state=target.info.state)
+                targets.append(held.target._replace(info=info))
+        named = {target.uid for target in targets}
+        for uid in listing.unchanged - named:
+            held = self.backends.backends.get(uid)
+            if held is not None:
+                targets.append(held.target)
+        return listing._replace(targets=tuple(targets))
+
+    def _report_faults(self, listing: Listing) -> None:
+        for _ in listing.faults:
+            self.counts.add(ListEvent.ENTRY_REJECTED)
+        if listing.faults:
+            log.event(
+                "list_entries_rejected",
+                revision=listing.revision,
+                entries=len(listing.faults),
+                first=listing.faults[0],
+            )
+
     def _server_states(self) -> dict[str, ServerState]:
         return {uid: backend.target.info.state for uid, backend in self.backends.backends.items()}
 
--- a/tests/capacity/test_module.py
+++ b/tests/capacity/test_module.py
@@ -10,7 +10,8 @@
 from bench.scale.data import Series
 from flintlatch.api import Event, ListKind, ServerInfo, ServerList
 from flintlatch.choice import Balancer
-from flintlatch.net.discovery import MAX_LIST, read_listing
+from flintlatch.net.discovery import MAX_LIST
+from flintlatch.net.listing import read_listing
 from flintlatch.standin.registry import Registry
 
 MODULE_SERIES = {
--- a/tests/fleet/test_delivered.py
+++ b/tests/fleet/test_delivered.py
@@ -29,8 +29,8 @@
 from flintlatch.fleet.delivered import DeliveryFeeds
 from flintlatch.fleet.nodes import NodeList, encode_listing
 from flintlatch.net.clock import now_ms
-from flintlatch.net.discovery import Listing, read_listing
 from flintlatch.net.engine import Engine
+from flintlatch.net.listing import Listing, read_listing
 from flintlatch.peers.clock import clock
 from flintlatch.standin.client import Clients
 from flintlatch.standin.delivery import KEY, QUICK, Child
--- a/tests/http/support.py
+++ b/tests/http/support.py
@@ -16,7 +16,7 @@
 from flintlatch.http.node import NodeConnection
 from flintlatch.http.rules import RoutingHeaders, RoutingRules, Rule
 from flintlatch.http.sockets import MAX_READ_BYTES, RESPONSE_BUFFER_BYTES
-from flintlatch.net.discovery import Listing, Target
+from flintlatch.net.listing import Listing, Target
 from flintlatch.net.relay import RelayEngine
 from flintlatch.settings import SocketSettings
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,7 +12,8 @@
 
 from flintlatch.api import ServerState
 from flintlatch.net import discovery as discovery_module
-from flintlatch.net.discovery import Discovery, Listing
+from flintlatch.net.discovery import Discovery
+from flintlatch.net.listing import Listing
 from flintlatch.settings import SocketSettings
 from tests.loopback import ReceivedRequest, ScriptedServer, listing, proxy, run, target
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -31,6 +31,7 @@
     "flintlatch.net.engine",
     "flintlatch.net.frontend",
     "flintlatch.net.http1",
+    "flintlatch.net.listing",
     "flintlatch.net.log",
     "flintlatch.net.relay",
     "flintlatch.net.request",
