Take a list as complete once its JSON is, and its drains from one that breaks off

Cause: an answer counted only with a right length. One that was cut, fell silent, or had a wrong or no length was dropped with all that it had told, and only the next good answer, after up to 0.8 s of delay and 2.2 s of waiting for each call, brought it again. Change: ListConnection finishes a response when its JSON is whole, 20 ms after the last byte or at the end of the connection. Of a list that is not whole the drains and removals are applied at once, as a part that does not advance the revision or count as a confirmation; the failed poll is reported as before. Why this works: an entry that has arrived whole says the same whatever follows it, and a drain can't be taken back by the rest. Additions wait for a whole list.

--- a/bench/scale/lists.py
+++ b/bench/scale/lists.py
@@ -192,7 +192,7 @@
                 with contextlib.suppress(ProcessLookupError):
                     proxy.process.kill()
             registry.close()
-    return [line.strip() for line in proxy.lines if "list:" in line], calls
+    return [line.strip() for line in proxy.lines if "event=list_" in line], calls
 
 
 def describe_limit(small: bool) -> str:
--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -8,7 +8,7 @@
 import orjson
 
 from flintlatch.net.http1 import Http1Connection, Response, split_address
-from flintlatch.net.listing import Listing, read_listing
+from flintlatch.net.listing import Listing, read_incomplete_listing, read_listing
 from flintlatch.settings import Malformed, SocketSettings
 
 # A change counts as known to the proxy PROPAGATION_LIMIT_MS after the service had it, whether or not it
@@ -31,36 +31,88 @@
 AGENT_TIMEOUT_MS = 250
 AGENT_RETRY_DELAY_S = 0.05
 MAX_LIST = 1024 * 1024  # bytes, about 8,000 servers; the process may have only 32 MB of memory
+QUIET_S = 0.02  # without a byte of a list that has begun
 
 
 class ListConnection(Http1Connection):
-    """A persistent connection to the list service, with one request at a time."""
+    """A persistent connection to the list service, with one request at a time.
 
-    def __init__(self) -> None:
+    A list is JSON, which tells itself whether it is whole. So a response is complete once its list is, also
+    if its length is wrong or absent. `on_progress` is called when a list that is not whole stops arriving.
+    """
+
+    def __init__(self, on_progress: Callable[[bytes], None]) -> None:
         super().__init__(MAX_LIST)
+        self.on_progress = on_progress
+        self.loop = asyncio.get_running_loop()
         self.response: asyncio.Future[Response] | None = None
         self.announced_bytes = 0  # Content-Length of the response, if it has one
+        self.quiet_timer: asyncio.TimerHandle | None = None
 
     async def get(self, request: bytes) -> Response:
-        self.response = asyncio.get_running_loop().create_future()
+        self.response, self.announced_bytes = self.loop.create_future(), 0
         self.send_request(request)
         return await self.response
 
     def on_response(self, response: Response) -> None:
+        self._cancel_quiet_timer()
         if self.response is not None and not self.response.done():
             self.response.set_result(response)
 
     def accepts_framing(self, lengths: list[bytes], codings: list[bytes]) -> bool:
         if len(lengths) == 1 and lengths[0].strip().isdigit():
             self.announced_bytes = int(lengths[0].strip()[:18])
+        if self._status == 200 and not lengths and not codings:
+            return True  # the body ends with the list or with the connection
         return super().accepts_framing(lengths, codings)
 
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        self._cancel_quiet_timer()
+        if self.awaiting_response:
+            self.quiet_timer = self.loop.call_later(QUIET_S, self._on_quiet)
+
+    def _on_quiet(self) -> None:
+        if not self.awaiting_response:
+            return
+        if self._has_whole_list():
+            self._complete, self._keep_alive = True, False
+            self._finish()
+        else:
+            self.on_progress(self.received_body())
+
+    def received_body(self) -> bytes:
+        """What has arrived of a list, complete or not."""
+        has_begun = self.response is not None and self._head_done and self._status == 200
+        return bytes(self._body) if has_begun else b""
+
+    def _has_whole_list(self) -> bool:
+        body = self.received_body()
+        if not body.rstrip().endswith(b"}"):
+            return False
+        try:
+            orjson.loads(body)
+        except orjson.JSONDecodeError:
+            return False
+        return True
+
+    def _cancel_quiet_timer(self) -> None:
+        if self.quiet_timer is not None:
+            self.quiet_timer.cancel()
+            self.quiet_timer = None
+
+    def close(self) -> None:
+        self._cancel_quiet_timer()
+        super().close()
+
     def on_broken(self) -> None:
         if self.response is None or self.response.done():
             return
         if max(self.announced_bytes, len(self._body)) > MAX_LIST:
             size = f"{self.announced_bytes}" if self.announced_bytes > MAX_LIST else f"over {MAX_LIST}"
             self.response.set_exception(Malformed(f"a list of {size} bytes, {MAX_LIST} at most can be taken"))
+        elif self._has_whole_list():
+            self.response.set_result(Response(self._status, self._headers, self.received_body()))
         else:
             self.response.set_exception(ConnectionError("connection broken"))
 
@@ -122,6 +174,7 @@
             except Exception as error:
                 # Any failure must be reported: if polling stopped silently, the decision module would rely on
                 # an outdated list and send requests to draining servers.
+                self._apply_received()
                 self._disconnect()
                 self.on_failure(f"{type(error).__name__}: {error}")
                 if not self.from_agent:
@@ -140,22 +193,39 @@
             self.revision = None
             raise Malformed(f"list: version {update.revision} after {held_revision}")
 
+    def _apply_received(self) -> None:
+        """Applies the drains in a list that has not arrived whole."""
+        if self.connection is not None:
+            self._apply_incomplete(self.connection.received_body())
+
+    def _apply_incomplete(self, body: bytes) -> None:
+        try:
+            listing = read_incomplete_listing(body, self.revision or 0)
+            if listing is not None:
+                self.on_list(listing)
+        except Exception as error:  # must not end the polling
+            self.on_failure(f"{type(error).__name__}: {error}")
+
     async def _fetch(self, long_poll_ms: int) -> Listing:
-        if self.connection is None or not self.connection.reusable:
-            self._disconnect()
-            host, port = split_address(self.address)
-            local_address = (self.wire.source_host, 0) if self.wire.source_host else None
-            loop = asyncio.get_running_loop()
-            _, self.connection = await loop.create_connection(
-                ListConnection, host, port, local_addr=local_address
-            )
         path = "/registry/instances"
         if self.revision is not None:
             path += f"?since={self.revision}&timeout_ms={long_poll_ms}"
-        response = await self.connection.get(f"GET {path} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode())
+        request = f"GET {path} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode()
+        response = await (await self._connect()).get(request)
         if response.status != 200:
             raise Malformed(f"the list service answered with status {response.status}, expected 200")
         try:
             return read_listing(orjson.loads(response.body), self.wire)
         except orjson.JSONDecodeError as error:
             raise Malformed(f"not JSON: {error}") from None
+
+    async def _connect(self) -> ListConnection:
+        """The kept connection, or a new one if there is none that can be used."""
+        if self.connection is None or not self.connection.reusable:
+            self._disconnect()
+            host, port = split_address(self.address)
+            local_address = (self.wire.source_host, 0) if self.wire.source_host else None
+            _, self.connection = await asyncio.get_running_loop().create_connection(
+                lambda: ListConnection(self._apply_incomplete), host, port, local_addr=local_address
+            )
+        return self.connection
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -133,7 +133,8 @@
 
     def on_list(self, listing: Listing, kind: ListKind | None = None) -> None:
         """Applies a snapshot or a delta of the list. An empty snapshot removes all servers."""
-        self.list_failure, self.list_failures = "", 0
+        if not listing.is_partial:
+            self.list_failure, self.list_failures = "", 0
         before = self._server_states()
         self._report_faults(listing)
         listing = self._resolve(listing)
@@ -143,7 +144,7 @@
         kind = kind or (ListKind.SNAPSHOT if listing.is_snapshot else ListKind.DELTA)
         self.list_events.append(ServerList(kind, tuple(target.info for target in listing.targets)))
         self._schedule_step()
-        self._report_list(kind, before)
+        self._report_list(kind, before, listing.is_partial)
 
     def _resolve(self, listing: Listing) -> Listing:
         """Completes the entries that lack an address, and adds the servers that stay as they are."""
@@ -176,15 +177,17 @@
     def _server_states(self) -> dict[str, ServerState]:
         return {uid: backend.target.info.state for uid, backend in self.backends.backends.items()}
 
-    def _report_list(self, kind: ListKind, before: dict[str, ServerState]) -> None:
+    def _report_list(self, kind: ListKind, before: dict[str, ServerState], is_partial: bool) -> None:
         """Counts an applied list, and logs it if a server was added, changed its state or was removed."""
-        self.counts.add(ListEvent.APPLIED)
-        age_ms, self.list_updated_ms = now_ms() - self.list_updated_ms, now_ms()
+        self.counts.add(ListEvent.PARTIAL if is_partial else ListEvent.APPLIED)
+        age_ms = now_ms() - self.list_updated_ms
+        if not is_partial:
+            self.list_updated_ms = now_ms()
         after = self._server_states()
         if after == before or kind is ListKind.SAVED:
             return
         log.event(
-            "list_applied",
+            "list_applied_in_part" if is_partial else "list_applied",
             revision=self.list_revision,
             kind=kind.value,
             servers=len(after),
--- a/flintlatch/net/listing.py
+++ b/flintlatch/net/listing.py
@@ -48,6 +48,7 @@
     # Servers that the list names without telling anything that can be used: they stay as they are.
     unchanged: frozenset[str] = frozenset()
     faults: tuple[str, ...] = ()  # of the entries that can't be read
+    is_partial: bool = False  # only what a list takes away; the service has not confirmed the rest
 
 
 def zone_or_kind_number(names: dict[str, int], value: object, member: str) -> int:
@@ -145,4 +146,4 @@
             continue
         if target is not None:
             drained.append(target)
-    return Listing(revision, False, tuple(drained)) if drained else None
+    return Listing(revision, False, tuple(drained), is_partial=True) if drained else None
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -241,6 +241,40 @@
     run(test())
 
 
+@pytest.mark.parametrize(
+    "head",
+    [b"", b"content-length: 5000\r\n", b"content-length: 5000\r\nconnection: close\r\n"],
+    ids=["no length", "too long", "too long, close"],
+)
+@pytest.mark.parametrize("pieces", [1, 2, 40])
+def test_a_list_is_complete_when_its_json_is(head: bytes, pieces: int) -> None:
+    async def test() -> None:
+        async with polled_service() as (recorded, service):
+            body = json.dumps(listing(43, target("s", ADDRESS, "leaving"), snapshot=False)).encode()
+            received = await service.requests.get()
+            received.writer.write(b"HTTP/1.1 200 X\r\n" + head + b"\r\n")
+            size = -(-len(body) // pieces)
+            for start in range(0, len(body), size):
+                received.writer.write(body[start : start + size])
+                await asyncio.sleep(0.001)
+            assert (await recorded.lists.get()).revision == 43
+            assert (await service.requests.get()).connection == 2 and recorded.failures.empty()
+
+    run(test())
+
+
+def test_a_list_without_a_length_that_ends_in_the_middle_is_a_failed_poll() -> None:
+    async def test() -> None:
+        async with polled_service() as (recorded, service):
+            received = await service.requests.get()
+            received.writer.write(b'HTTP/1.1 200 X\r\n\r\n{"rev":43,"all":true,"targets":[]')
+            received.writer.close()
+            assert "connection broken" in await recorded.failures.get()
+            assert recorded.lists.empty()
+
+    run(test())
+
+
 def test_an_empty_snapshot_removes_all_servers_until_a_list_names_some() -> None:
     async def test() -> None:
         async with proxy(backends=2) as p:
