Follow a service that numbers its revisions anew without keeping drained servers

Seen by callers: new work at drained servers when the list service had restarted with lower revisions. Cause: an update with a revision below the one held was refused whole and asked for again after the delay of a failed poll. What it took away counted as told when it was written. A service whose revisions go back twice within a second is polled with the delays of failures. A poll that finds its kept connection closed before any byte is sent once more on a new one.

--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -4,11 +4,12 @@
 
 import asyncio
 from collections.abc import Callable
+from math import inf
 
 import orjson
 
 from flintlatch.net.http1 import Http1Connection, Response, split_address
-from flintlatch.net.listing import Listing, read_incomplete_listing, read_listing
+from flintlatch.net.listing import Listing, read_incomplete_listing, read_listing, restricted
 from flintlatch.settings import Malformed, SocketSettings
 
 # A change counts as known to the proxy PROPAGATION_LIMIT_MS after the service had it, whether or not it
@@ -32,6 +33,7 @@
 AGENT_RETRY_DELAY_S = 0.05
 MAX_LIST = 1024 * 1024  # bytes, about 8,000 servers; the process may have only 32 MB of memory
 QUIET_S = 0.02  # without a byte of a list that has begun
+RESYNC_INTERVAL_S = 1.0  # between two polls that follow an outdated revision at once
 
 
 class ListConnection(Http1Connection):
@@ -86,6 +88,10 @@
         has_begun = self.response is not None and self._head_done and self._status == 200
         return bytes(self._body) if has_begun else b""
 
+    def has_received(self) -> bool:
+        """Whether any byte of the response has arrived."""
+        return self._message_bytes > 0
+
     def _has_whole_list(self) -> bool:
         body = self.received_body()
         if not body.rstrip().endswith(b"}"):
@@ -136,6 +142,7 @@
         self.address, self.wire, self.revision, self.from_agent = address, wire, revision, from_agent
         self.on_list, self.on_failure = on_list, on_failure
         self.connection: ListConnection | None = None
+        self.resynced_at = -inf  # loop time of the last poll that followed an outdated revision at once
         self.task: asyncio.Task[None] | None = None
 
     def watch(self) -> None:
@@ -169,7 +176,10 @@
             try:
                 async with asyncio.timeout((long_poll_ms + grace_ms) / 1000):
                     update = await self._fetch(long_poll_ms)
-                self._check_order(update)
+                if self._is_outdated(update):
+                    self._resync(update)
+                    long_poll_ms, grace_ms = FIRST_LONG_POLL_MS, first_grace_ms
+                    continue
                 self.on_list(update)
             except Exception as error:
                 # Any failure must be reported: if polling stopped silently, the decision module would rely on
@@ -184,14 +194,19 @@
                 continue
             self.revision, long_poll_ms, grace_ms = update.revision, LONG_POLL_MS, RESPONSE_GRACE_MS
 
-    def _check_order(self, update: Listing) -> None:
-        """Raises Malformed for a revision older than the one held, and makes the next poll request a
-        snapshot. That snapshot is accepted with any revision, because a restarted service numbers its
-        revisions anew."""
-        held_revision = self.revision
-        if held_revision is not None and update.revision < held_revision:
-            self.revision = None
+    def _is_outdated(self, update: Listing) -> bool:
+        return self.revision is not None and update.revision < self.revision
+
+    def _resync(self, update: Listing) -> None:
+        """Handles a revision older than the one held: applies what it takes away, and makes the next poll
+        request a snapshot, which is accepted with any revision. The service may have restarted, and numbers
+        its revisions anew. Raises Malformed if that happens again soon."""
+        held_revision, self.revision = self.revision, None
+        self.on_list(restricted(update)._replace(revision=held_revision or 0, is_partial=True))
+        now = asyncio.get_running_loop().time()
+        if now < self.resynced_at + RESYNC_INTERVAL_S:
             raise Malformed(f"list: version {update.revision} after {held_revision}")
+        self.resynced_at = now
 
     def _apply_received(self) -> None:
         """Applies the drains in a list that has not arrived whole."""
@@ -211,7 +226,14 @@
         if self.revision is not None:
             path += f"?since={self.revision}&timeout_ms={long_poll_ms}"
         request = f"GET {path} HTTP/1.1\r\nHost: {self.address}\r\n\r\n".encode()
-        response = await (await self._connect()).get(request)
+        kept = self.connection
+        try:
+            response = await (await self._connect()).get(request)
+        except ConnectionError:
+            # The service may close a kept connection while a request is on its way.
+            if kept is None or self.connection is not kept or kept.has_received():
+                raise
+            response = await (await self._connect()).get(request)
         if response.status != 200:
             raise Malformed(f"the list service answered with status {response.status}, expected 200")
         try:
