Write the key of the delivery rig once, before its processes start

Cause: each start of a process in the rig wrote the key file anew, which truncates it first; a relay that read it just then ended with 'found an invalid key file, expected 1 key'. Traced by printing the exit code (2) and the rest of standard error. Change: DeliveryDeployment.open writes the key before the first start.

--- a/flintlatch/standin/delivery.py
+++ b/flintlatch/standin/delivery.py
@@ -149,6 +149,8 @@
                     f"s{(number * 7 + k) % services}" for k in range(min(services_per_follower, services))
                 )
                 self.followed_names[name] = (MARK, *services_followed)
+        # Once: a process that starts reads it, and must not find it empty.
+        (self.folder / "key").write_text(KEY)
         self.put()
         await self.start("origin")
         await self.wait_for_commit()
@@ -161,7 +163,6 @@
 
     def _write(self, name: str) -> Path:
         place, path = self.links.places[name], self.folder / f"{name}.toml"
-        (self.folder / "key").write_text(KEY)
         keys: dict[str, Any] = {"name": name, "key_file": "key", "region": place.zone, "zone": place.zone}
         if name == "origin":
             keys |= {"bind": f"{place.host}:0", "source": "objects.json"}
