Use the saved list only if the agent has not answered, not if its list is empty

Seen by callers: with pushed lists, a process that started while the agent had no server sent work to the servers of its saved list one second later. Change: the engine keeps whether the service has given a list; only without one the saved list counts. Tests: test_the_saved_list_is_not_used_if_the_agent_has_no_server failed before.

--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -110,6 +110,7 @@
         self.recent_ids: dict[str, float] = {}  # ids of recent requests with their arrival time, oldest first
         self.max_deadline_ms = max(c.deadline_ms for c in settings.classes)
         self.list_revision = 0  # of the present list
+        self.list_received = False  # whole, from the service
         self.list_updated_ms = now_ms()  # when the service last confirmed the present list
         self.list_failure = ""  # reason of the last failed poll; empty after a success
         self.list_failures = 0  # failed polls in a row
@@ -141,6 +142,7 @@
         # The pools get a drain immediately, before any other request of this loop turn is written.
         self.list_revision = listing.revision
         self.backends.update(listing.targets, listing.is_snapshot)
+        self.list_received = self.list_received or (kind is None and not listing.is_partial)
         kind = kind or (ListKind.SNAPSHOT if listing.is_snapshot else ListKind.DELTA)
         self.list_events.append(ServerList(kind, tuple(target.info for target in listing.targets)))
         self._schedule_step()
@@ -199,14 +201,14 @@
         )
 
     def watch_agent(self, saved: Listing) -> None:
-        """Polls an agent on this machine. `saved` is used only if the agent does not respond or has no
-        servers, because it may contain servers whose drain already counts as known to the proxy."""
+        """Polls an agent on this machine. `saved` is used only if the agent does not respond, because it may
+        contain servers whose drain already counts as known to the proxy."""
         assert self.discovery is not None
         self.discovery.watch()
         self.loop.call_later(SAVED_LIST_DELAY_S, self._use_saved_list, saved)
 
     def _use_saved_list(self, saved: Listing) -> None:
-        if not self.backends.backends:
+        if not self.list_received:
             log.event("saved_list_used", revision=saved.revision, servers=len(saved.targets))
             self.on_list(saved, ListKind.SAVED)
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -93,6 +93,21 @@
     run(test())
 
 
+def test_the_saved_list_is_not_used_if_the_agent_has_no_server(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(engine_module, "SAVED_LIST_DELAY_S", 0.05)
+
+    async def test() -> None:
+        async with proxy(backends=1, lists="push") as p:
+            reply(await p.registry.requests.get(), listing(5))
+            await p.registry.requests.get()
+            client = await p.client()
+            client.send("/lookup", "GET", x_budget_ms="300")
+            assert (await client.reply()).status == 504
+            assert p.backends[0].requests.empty()
+
+    run(test())
+
+
 def test_a_new_agent_is_polled_in_the_loop_turn_of_the_address_change() -> None:
     async def test() -> None:
         second = await ScriptedServer().open()
