Read the configuration again after a SIGHUP that met an unusable file

A SIGHUP that met the file half-written, missing or unreadable left the proxy with the old list service for good, and so did a file with a good address beside any other damage. Tests: test_a_sighup_during_the_replacement_of_the_file_is_followed_once_it_is_whole, four contents, failed before. Measured: tests/test_program.py and tests/test_platform.py pass.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -21,12 +21,12 @@
 from flintlatch.api import ListKind, Settings
 from flintlatch.net.backends import split_descriptors
 from flintlatch.net.discovery import Discovery
-from flintlatch.net.engine import Engine
 from flintlatch.net.frontend import open_listener
 from flintlatch.net.http1 import split_address
 from flintlatch.net.listing import Listing, read_listing
 from flintlatch.net.log import log
 from flintlatch.ops.admin import AdminServer
+from flintlatch.ops.reload import ConfigReloader
 from flintlatch.ops.staff import Operations
 from flintlatch.ops.succession import HotRestart, find_predecessor
 from flintlatch.platform import PlatformEngine, PlatformFrontend, build
@@ -106,19 +106,6 @@
     return engine, frontend
 
 
-def reload(engine: Engine, env: dict[str, str]) -> None:
-    """Handles SIGHUP after the file was replaced. Only the address of the list service may change while the
-    proxy runs, and for it the file takes precedence, because the environment can't change."""
-    try:
-        config = Config({name: value for name, value in env.items() if name != "LB_DISCOVERY"})
-    except Malformed as error:
-        log(f"reload: {error}; going on as before")
-        log.event("reload_failed", discovery=engine.discovery.address if engine.discovery else None)
-        return
-    log.event("reload", discovery=config.discovery)
-    engine.change_list_address(config.discovery)
-
-
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     # An exception in the code of one connection ends that connection, not the process.
@@ -132,7 +119,8 @@
     engine, frontend = start(config, predecessor.listeners if predecessor is not None else None)
     # In the same loop turn as the start, so that the handler is set before a client can see the proxy as
     # ready.
-    loop.add_signal_handler(signal.SIGHUP, reload, engine, dict(os.environ))
+    reloader = ConfigReloader(engine, os.environ["LB_CONFIG"])
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     restart = HotRestart(engine, frontend, config.sockets)
     if predecessor is not None:
@@ -162,6 +150,7 @@
         await asyncio.sleep(ACCEPT_AFTER_STOP_S)
         restart.close()
     await frontend.finish(max(c.deadline_ms for c in config.settings.classes) / 1000)
+    reloader.close()
     engine.close()
     if admin is not None:
         admin.close()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -39,6 +39,7 @@
     "flintlatch.ops.admin",
     "flintlatch.ops.calls",
     "flintlatch.ops.figures",
+    "flintlatch.ops.reload",
     "flintlatch.ops.staff",
     "flintlatch.ops.succession",
     "flintlatch.platform",
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -307,3 +307,32 @@
             server.close()
 
     run(test())
+
+
+@pytest.mark.parametrize("first_content", ["", "{", '{"discovery": ', "missing"])
+def test_a_sighup_during_the_replacement_of_the_file_is_followed_once_it_is_whole(
+    tmp_path: Path, first_content: str
+) -> None:
+    async def test() -> None:
+        first, second = [await ScriptedServer().open() for _ in range(2)]
+        env = write_config(tmp_path, configuration(first.address))
+        program = await asyncio.create_subprocess_exec(*COMMAND, env=env, stderr=asyncio.subprocess.PIPE)
+        assert program.stderr is not None
+        await first.requests.get()
+        if first_content == "missing":
+            os.unlink(env["LB_CONFIG"])
+        else:
+            write_config(tmp_path, first_content)
+        program.send_signal(signal.SIGHUP)
+        while "going on as before" not in (await program.stderr.readline()).decode():
+            pass
+        # Only the address has to be valid: the rest takes effect with a restart.
+        write_config(tmp_path, {"discovery": second.address, "known": "damaged"})
+        assert (await second.requests.get()).line == "GET /registry/instances HTTP/1.1"
+        program.send_signal(signal.SIGTERM)
+        assert "bug" not in (await program.stderr.read()).decode()
+        assert await program.wait() == 0
+        for server in (first, second):
+            server.close()
+
+    run(test())
