End a stop before the earliest SIGKILL, whatever the deadlines and with a successor

A request with a deadline over 3 s, or one that came late in the 1.5 s beside a successor, was unanswered when SIGKILL came; one completed in the last 50 ms was read and dropped. Cause: the wait for the last answers began at the end of the accept phase (0.55 or 1.5 s) and lasted the longest deadline, uncapped: 4.5 s and more where SIGKILL may come 3.7 s after SIGTERM. Change: the end is counted from SIGTERM: the longest deadline, at most 3 s, and 0.45 s, which leaves room for a process that is held up. Beside a successor connections stay open for at most 1.5 s and until the longest latency target before that end. After the last answers a request that still completes is refused at once.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -40,10 +40,13 @@
     require_string,
 )
 
-# After SIGTERM connections stay open for this time if a successor accepts new ones.
+# After SIGTERM connections stay open for up to this time if a successor accepts new ones.
 LINGER_WITH_SUCCESSOR_S = 1.5
 # Clients still connect for a while after SIGTERM; includes a margin for a busy machine.
 ACCEPT_AFTER_STOP_S = 0.55
+# SIGKILL comes no sooner than the longest deadline, of at most MAX_DEADLINE_S, and 0.7 s more after SIGTERM.
+# By then everything is answered, also if the process is held up for a moment.
+MAX_DEADLINE_S, END_AFTER_DEADLINE_S = 3.0, 0.45
 
 
 class Config:
@@ -106,6 +109,20 @@
     return engine, frontend
 
 
+def stop_duration_s(settings: Settings) -> float:
+    """The time from SIGTERM by which every request has its answer."""
+    longest_deadline_s = max(c.deadline_ms for c in settings.classes) / 1000
+    return min(longest_deadline_s, MAX_DEADLINE_S) + END_AFTER_DEADLINE_S
+
+
+def linger_duration_s(settings: Settings) -> float:
+    """The time from SIGTERM for which connections stay open beside a successor. It leaves the longest latency
+    target for the requests that come last."""
+    longest_target_s = max(c.aim_ms for c in settings.classes) / 1000
+    latest_s = stop_duration_s(settings) - longest_target_s
+    return max(ACCEPT_AFTER_STOP_S, min(LINGER_WITH_SUCCESSOR_S, latest_s))
+
+
 async def serve(config: Config) -> None:
     loop = asyncio.get_running_loop()
     # An exception in the code of one connection ends that connection, not the process.
@@ -138,18 +155,19 @@
     gc.collect()
     gc.freeze()
     await stop.wait()
+    end_at = loop.time() + stop_duration_s(config.settings)
     log("stopping")
     log.event("stopping", open_requests=engine.open_requests(), successor=restart.successor_serves)
     if restart.successor_serves:
         frontend.disable_keep_alive(address_still_served=True)
         restart.close()
         frontend.stop_accepting()
-        await asyncio.sleep(LINGER_WITH_SUCCESSOR_S)
+        await asyncio.sleep(linger_duration_s(config.settings))
     else:
         frontend.disable_keep_alive()
         await asyncio.sleep(ACCEPT_AFTER_STOP_S)
         restart.close()
-    await frontend.finish(max(c.deadline_ms for c in config.settings.classes) / 1000)
+    await frontend.finish(end_at - loop.time())
     reloader.close()
     engine.close()
     if admin is not None:
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -250,7 +250,9 @@
             if isinstance(message, RequestError):
                 self.keep_alive = False
                 raise message
-            self.keep_alive = message.keep_alive
+            self.keep_alive = message.keep_alive and not self.frontend.refusing
+            if self.frontend.refusing:
+                raise RequestError(503, "the proxy stops")
             self._accept_request(message)
             self.consecutive_errors = 0
         except RequestError as error:
@@ -343,6 +345,7 @@
         self.paused_clients: set[Client] = set()  # reading is paused
         self.opening_tasks: set[asyncio.Task[object]] = set()
         self.stopping = self.accepting = False
+        self.refusing = False  # at the end of a stop: a request that still arrives is refused at once
         self.drained_by_operator = False  # an operator has started a drain
         self.keep_alive_disabled_ms = 0.0
         self.address_still_served = False  # stopping, and another process serves the same address
@@ -575,6 +578,7 @@
             except TimeoutError:
                 log(f"stop: {self.connection_count} client connections were still open")
                 # Requests on these connections are answered before the process ends.
+                self.refusing = True
                 self.engine.fail_all()
                 await asyncio.sleep(FINAL_FLUSH_S)
         if self.sweep_timer is not None:
