Convert starts of servers across steps of the wall clock

After a step of the wall clock backwards a server that restarted looked as old as the step, was treated as warm and got a full load while cold; after a step forward it was held cold for as long as the step. Cause: boot_ms was compared with a clock whose offset to Unix time is taken once, at the import. Change: net/clock.py keeps the steps that it sees, net/starts.py converts each start once, when it is listed first, to the latest time that is possible, not in the future, and not earlier than 5 s before the previous list (what the list service may need to notice a start). A known start keeps its time. Without steps nothing changes but for lists that come more than 5 s late. Not covered: a first list that a process reads after a step forward, of servers that started before it.

--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -37,12 +37,13 @@
 )
 from flintlatch.choice import Balancer
 from flintlatch.net.backends import Attempt, Backends
-from flintlatch.net.clock import now_ms
+from flintlatch.net.clock import WallClock, now_ms
 from flintlatch.net.counts import Counts, ListEvent, RetryEvent
 from flintlatch.net.discovery import Discovery
 from flintlatch.net.http1 import Response
-from flintlatch.net.listing import Listing
+from flintlatch.net.listing import Listing, Target
 from flintlatch.net.log import log, request_log
+from flintlatch.net.starts import ServerStarts
 from flintlatch.settings import SocketSettings
 
 MODULE_RESTART_DELAY_S = 0.1  # between the failure of a decision module and the first step of the next
@@ -116,6 +117,8 @@
         self.list_failures = 0  # failed polls in a row
         self.list_failure_logged_ms = -inf
         self.counts = Counts()
+        self.wall_clock = WallClock()
+        self.starts = ServerStarts(self.wall_clock)
         self.list_events: list[ServerList] = []
         self.events: list[Event] = []
         self.to_forget: list[PendingRequest] = []  # to be removed after the step that reports their end
@@ -142,6 +145,7 @@
         # The pools get a drain immediately, before any other request of this loop turn is written.
         self.list_revision = listing.revision
         self.backends.update(listing.targets, listing.is_snapshot)
+        self.starts.forget(set(self.backends.backends))
         self.list_received = self.list_received or (kind is None and not listing.is_partial)
         kind = kind or (ListKind.SNAPSHOT if listing.is_snapshot else ListKind.DELTA)
         self.list_events.append(ServerList(kind, tuple(target.info for target in listing.targets)))
@@ -149,12 +153,14 @@
         self._report_list(kind, before, listing.is_partial)
 
     def _resolve(self, listing: Listing) -> Listing:
-        """Completes the entries that lack an address, and adds the servers that stay as they are."""
+        """Completes the entries that lack an address, adds the servers that stay as they are, and converts
+        start times to the proxy's clock."""
+        self._sample_wall_clock()
         targets = []
         for target in listing.targets:
             held = self.backends.backends.get(target.uid)
             if target.host:
-                targets.append(target)
+                targets.append(self._with_local_start(target))
             elif held is not None:
                 info = held.target.info._replace(state=target.info.state)
                 targets.append(held.target._replace(info=info))
@@ -165,6 +171,18 @@
                 targets.append(held.target)
         return listing._replace(targets=tuple(targets))
 
+    def _with_local_start(self, target: Target) -> Target:
+        if target.info.started is None:
+            return target
+        previous_list_ms = self.list_updated_ms if self.list_received else None
+        started = self.starts.local_ms(target.uid, target.info.started, previous_list_ms)
+        return target._replace(info=target.info._replace(started=started))
+
+    def _sample_wall_clock(self) -> None:
+        step_ms = self.wall_clock.sample()
+        if step_ms:
+            log.event("wall_clock_stepped", by_ms=step_ms)
+
     def _report_faults(self, listing: Listing) -> None:
         for _ in listing.faults:
             self.counts.add(ListEvent.ENTRY_REJECTED)
@@ -365,6 +383,7 @@
 
     def _step(self) -> None:
         self.scheduled_step = None
+        self._sample_wall_clock()
         batch: list[Event] = [*self.list_events, *self.events]
         if self.agreed_events is not None and (agreed := self.agreed_events(self.module_generation)):
             batch = [*agreed, *batch]
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -154,6 +154,7 @@
             "Kinds": ["m"],
             "Discovery": limits.pop("lists", "ask"),
             "TickMs": 5.0,
+            "Obligations": limits.pop("obligations", {}),
             "Limits": {"MayCancel": True, "MostTries": 4, "ConnectTimeoutMs": 20000, "ConnIdleMs": 60000}
             | limits,
         },
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -35,6 +35,7 @@
     "flintlatch.net.log",
     "flintlatch.net.relay",
     "flintlatch.net.request",
+    "flintlatch.net.starts",
     "flintlatch.ops",
     "flintlatch.ops.admin",
     "flintlatch.ops.calls",
