Outlast system calls that fail for a moment, at the start and at the end of a stop

A lack of descriptors for a moment ended a start with exit code 2, and at the end of a stop a failed accept left the other queued connections to be reset, with the requests in them. Cause: the start tried each call once; accept_queued stopped at the first accept that brought no connection, whatever the reason.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -25,6 +25,7 @@
 from flintlatch.net.http1 import split_address
 from flintlatch.net.listing import Listing, read_listing
 from flintlatch.net.log import log
+from flintlatch.net.transient import retry_transient
 from flintlatch.ops.admin import AdminServer
 from flintlatch.ops.reload import ConfigReloader
 from flintlatch.ops.staff import Operations
@@ -49,6 +50,11 @@
 MAX_DEADLINE_S, END_AFTER_DEADLINE_S = 3.0, 0.45
 
 
+def read_file(path: str) -> bytes:
+    with open(path, "rb") as file:
+        return file.read()
+
+
 class Config:
     """The checked configuration from the platform. Raises Malformed with a message for the operator."""
 
@@ -57,8 +63,8 @@
         if not path:
             raise Malformed("LB_CONFIG is not set")
         try:
-            with open(path, "rb") as file:
-                raw = require_object(orjson.loads(file.read()), "configuration")
+            content = retry_transient(lambda: read_file(path))
+            raw = require_object(orjson.loads(content), "configuration")
         except OSError as error:
             raise Malformed(f"{path}: {error.strerror}") from None
         except orjson.JSONDecodeError as error:
@@ -105,7 +111,9 @@
         engine.watch_agent(config.saved_list)
     else:
         engine.on_list(config.saved_list, ListKind.SAVED)
-    frontend.serve_on(listeners or [open_listener(config.listen, shared=True)])
+    if not listeners:
+        listeners = [retry_transient(lambda: open_listener(config.listen, shared=True))]
+    frontend.serve_on(listeners)
     return engine, frontend
 
 
@@ -132,7 +140,7 @@
     stop = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
-    predecessor = find_predecessor(config.handover_folder, config.listen)
+    predecessor = retry_transient(lambda: find_predecessor(config.handover_folder, config.listen))
     engine, frontend = start(config, predecessor.listeners if predecessor is not None else None)
     # In the same loop turn as the start, so that the handler is set before a client can see the proxy as
     # ready.
@@ -141,7 +149,7 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     restart = HotRestart(engine, frontend, config.sockets)
     if predecessor is not None:
-        restart.join(predecessor)
+        retry_transient(lambda: restart.join(predecessor))
     restart.offer_listeners(config.handover_folder, config.listen)
     admin = None
     if config.admin:
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -6,6 +6,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 from http import HTTPStatus
 from typing import cast
 
@@ -43,12 +44,24 @@
 MAX_LINGER_BYTES = 1024 * 1024  # read and dropped in that time; by then the response has long been sent
 FINAL_FLUSH_S = 0.05  # at the end of a stop, for the last responses to be sent
 ACCEPT_RETRY_DELAY_S = 0.05  # after a lack of descriptors
+FINAL_ACCEPT_RETRY_DELAY_S, FINAL_ACCEPT_RETRIES = 0.01, 10  # of connections queued at the end of a stop
 MAX_UNREAD_RESPONSE_BYTES = 2 * MAX_BODY  # that a client may leave unread before its connection is aborted
 READY_PATH = b"/health/ready"
 
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
+class AcceptResult(Enum):
+    """What became of accepting one connection."""
+
+    ACCEPTED = "accepted"
+    REPLACED = "replaced"  # accepted, and another client was evicted for it
+    EMPTY = "empty"  # no connection is queued
+    ABORTED = "aborted"  # this one has ended; others may be queued
+    FULL = "full"  # the connection limit is reached, and no client may be evicted
+    FAILED = "failed"  # a lack of descriptors or memory
+
+
 def open_listener(address: str, shared: bool = False) -> socket.socket:
     """Opens a socket that listens at `host:port`. Raises OSError if the address is not available. `shared`:
     other processes of this user that set the same option may listen there too (SO_REUSEPORT, socket(7))."""
@@ -422,31 +435,39 @@
             return
         self.accept_pause_over = False
         for _ in range(self.accepts_per_turn):
-            full = self.connection_count >= self.max_connections
-            evicted = self._eviction_candidate() if full else None
-            if full and evicted is None:
+            result = self._accept_one(listener)
+            if result in (AcceptResult.FULL, AcceptResult.FAILED):
                 self._retry_accepting_later()  # new connections wait in the kernel's queue
+            if result is not AcceptResult.ACCEPTED:
                 return
-            try:
-                sock, _ = listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
-            except OSError as error:
-                log(f"accept: {error}")
-                self._retry_accepting_later()
-                return
-            if evicted is not None:  # only after a connection was accepted that replaces it
-                self.engine.counts.add(CloseReason.EVICTED)
-                self.move_client(evicted, None)
-                evicted.transport.abort() if evicted.closing else evicted.transport.close()
-            self.connection_count += 1
-            if self.on_connection_count is not None:
-                self.on_connection_count(self.connection_count)
-            task = self.loop.create_task(self.loop.connect_accepted_socket(self.make_client, sock))
-            self.opening_tasks.add(cast("asyncio.Task[object]", task))
-            task.add_done_callback(self._on_opened)
-            if evicted is not None:
-                return  # its descriptor is freed only after this loop turn
+
+    def _accept_one(self, listener: socket.socket) -> AcceptResult:
+        """Accepts one connection from the kernel's queue, if there is one."""
+        full = self.connection_count >= self.max_connections
+        evicted = self._eviction_candidate() if full else None
+        if full and evicted is None:
+            return AcceptResult.FULL
+        try:
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            return AcceptResult.EMPTY
+        except (InterruptedError, ConnectionAbortedError):
+            return AcceptResult.ABORTED
+        except OSError as error:
+            log.event("accept_failed", reason=str(error), connections=self.connection_count)
+            return AcceptResult.FAILED
+        if evicted is not None:  # only after a connection was accepted that replaces it
+            self.engine.counts.add(CloseReason.EVICTED)
+            self.move_client(evicted, None)
+            evicted.transport.abort() if evicted.closing else evicted.transport.close()
+        self.connection_count += 1
+        if self.on_connection_count is not None:
+            self.on_connection_count(self.connection_count)
+        task = self.loop.create_task(self.loop.connect_accepted_socket(self.make_client, sock))
+        self.opening_tasks.add(cast("asyncio.Task[object]", task))
+        task.add_done_callback(self._on_opened)
+        # The descriptor of an evicted client is freed only after this loop turn.
+        return AcceptResult.ACCEPTED if evicted is None else AcceptResult.REPLACED
 
     def _resume_after_pause(self) -> None:
         """Accepts the connections that no other process has accepted during the pause."""
@@ -543,15 +564,20 @@
             now_ms(),
         )
 
-    def accept_queued(self) -> None:
+    async def accept_queued(self) -> None:
         """Accepts all connections in the kernel's queue, regardless of the limit for one loop turn, up to the
-        connection limit."""
+        connection limit. Retries for a moment if that fails."""
+        self._pause_accepting()
         for listener in self.listeners:
-            while self.connection_count < self.max_connections:
-                count_before = self.connection_count
-                self._accept(listener)
-                if self.connection_count == count_before:
+            retries = 0
+            while self.connection_count < self.max_connections and retries <= FINAL_ACCEPT_RETRIES:
+                result = self._accept_one(listener)
+                if result is AcceptResult.EMPTY:
                     break
+                if result in (AcceptResult.FAILED, AcceptResult.ABORTED):
+                    retries += 1
+                if result is AcceptResult.FAILED:
+                    await asyncio.sleep(FINAL_ACCEPT_RETRY_DELAY_S)
 
     def stop_accepting(self) -> None:
         self._pause_accepting()
@@ -562,7 +588,7 @@
     async def finish(self, within_s: float) -> None:
         """Stops accepting, closes connections between requests, and waits up to `within_s` until none is
         open."""
-        self.accept_queued()  # queued connections may contain a request that was sent in time
+        await self.accept_queued()  # queued connections may contain a request that was sent in time
         self.stop_accepting()
         for client in [
             *self.idle_clients,
--- a/flintlatch/ops/admin.py
+++ b/flintlatch/ops/admin.py
@@ -10,6 +10,7 @@
 import httptools
 
 from flintlatch.net.frontend import REASON_PHRASES, open_listener
+from flintlatch.net.transient import retry_transient
 from flintlatch.ops.calls import Call, CallError, read_call
 
 MAX_CONNECTIONS = 12  # at once; from the descriptors reserved for the process itself
@@ -101,7 +102,7 @@
     @classmethod
     async def open(cls, address: str, actions: AdminActions) -> AdminServer:
         """Listens at `host:port`. Raises OSError if the address is not available."""
-        admin = cls(actions, open_listener(address))
+        admin = cls(actions, retry_transient(lambda: open_listener(address)))
         admin.server = await admin.loop.create_server(lambda: AdminConnection(admin), sock=admin.listener)
         return admin
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -36,6 +36,7 @@
     "flintlatch.net.relay",
     "flintlatch.net.request",
     "flintlatch.net.starts",
+    "flintlatch.net.transient",
     "flintlatch.ops",
     "flintlatch.ops.admin",
     "flintlatch.ops.calls",
