Let the fleet's registry source take away nodes without a guard

Seen by callers: nothing in the reports; found by asking which guards hold removals back. A fleet whose nodes come from the registry kept nodes that the registry no longer named for hold_s (30 s), and all of them for good when it named none. Change: MembershipRules.authoritative (was drains_at_once) names the sources of the platform's protocol; nothing they drain or leave out is held. Files, catalogues and delivery keep their guards: no rule counts their changes as told, hold_s bounds the wait, and an operator can confirm; a version without any node stays refused there.

--- a/flintlatch/fleet/members.py
+++ b/flintlatch/fleet/members.py
@@ -68,8 +68,7 @@
                 (*table.files, *catalogue_services, *registry_sources, *delivery_sources),
                 max_removed_fraction=table.most_removed_part,
                 hold_s=table.hold_s,
-                # In the registry a node itself asks to be drained; in other sources an operator does.
-                drains_at_once=frozenset(registry_sources),
+                authoritative=frozenset(registry_sources),
             )
         )
         self.last_offer_ms = 0.0
--- a/flintlatch/membership/core.py
+++ b/flintlatch/membership/core.py
@@ -1,8 +1,10 @@
 """Decides which versions of the node list are accepted and what the merged list contains. No I/O, no clock.
 
 A version that a source offers is handled in this order:
-  1. It is rejected if it is older than the source's current one or contains no node.
-  2. It is held if it removes too many nodes at once, until an operator confirms it or `hold_s` has passed.
+  1. It is rejected if it is older than the source's current one or, unless the source is authoritative,
+     contains no node.
+  2. It is held if it removes too many nodes at once, until an operator confirms it or `hold_s` has passed;
+     a version of an authoritative source is never held.
   3. Otherwise it becomes the source's current version. The current versions are merged by the precedence of
      their sources, and in the merged list
      a node that a source reports unhealthy is drained, unless too many nodes of its pool are (panic mode);
@@ -36,7 +38,9 @@
     flap_window_s: float = 60.0
     flap_hold_s: float = 60.0  # for how long the node is then held down
     panic_fraction: float = 0.5  # with more of a pool's nodes unhealthy or held down, none of them is drained
-    drains_at_once: frozenset[str] = frozenset()  # sources whose drains don't count as removals
+    # Sources of the platform's protocol: what they drain or no longer name counts as known when it is
+    # received, so no guard may hold it back.
+    authoritative: frozenset[str] = frozenset()
 
     def __post_init__(self) -> None:
         if not self.sources or len(set(self.sources)) != len(self.sources):
@@ -237,7 +241,7 @@
             elif source.held is None:
                 source.unconfirmed = False  # the source offers its current version again
             return
-        if not version.nodes:
+        if not version.nodes and version.source not in self.rules.authoritative:
             self._reject(source, version.number, (Fault("node", "none", "at least one node"),))
             self.actions.append(
                 LogWarning(f"{source.name}: version {version.number} removes every node: refused")
@@ -253,14 +257,11 @@
 
     def _removed_nodes(self, source: Source, version: Version) -> tuple[int, int]:
         """How many active nodes the version would remove or drain, and how many there are."""
-        if source.current is None:
+        if source.current is None or source.name in self.rules.authoritative:
             return 0, 0
         after = version.by_uid()
         active = [node.uid for node in source.current.nodes if node.state is NodeState.ACTIVE]
-        count_drains = source.name not in self.rules.drains_at_once
-        removed = sum(
-            uid not in after or (count_drains and after[uid].state is not NodeState.ACTIVE) for uid in active
-        )
+        removed = sum(uid not in after or after[uid].state is not NodeState.ACTIVE for uid in active)
         return removed, len(active)
 
     def _on_confirm(self, now_s: float, event: Confirmed) -> None:
