Number versions above the restored one, also after the wall clock went back

Seen by callers: nothing in the reports; found by asking what starts from saved state and what ends its validity. A fleet with nodes.keep that was restarted after the wall clock had been stepped back refused every new version of its registry, catalogue or unnumbered files as older than the saved one, for as long as the step. Cause: the sources make their version numbers from Unix time; the saved number was ahead of it. Change: each source starts above the number of the restored version.

--- a/flintlatch/fleet/members.py
+++ b/flintlatch/fleet/members.py
@@ -77,17 +77,16 @@
         self.wake_timer: asyncio.TimerHandle | None = None
         self.accepted_count = self.rejected_count = 0
         self.last_rejection = ""
-        for name in self.core.rules.sources:
-            self._restore(name)
+        last_numbers = {name: self._restore(name) for name in self.core.rules.sources}
         self.sources: list[FileSource | CatalogueSource | RegistrySource | NodeSubscription] = [
-            make_file_source(name, resolve_config_path(config.path, name), self.on_event)
+            make_file_source(name, resolve_config_path(config.path, name), self.on_event, last_numbers[name])
             for name in table.files
         ]
         token = (
             self._read_token(resolve_config_path(config.path, table.token_file)) if table.token_file else ""
         )
         for name, service in catalogue_services.items():
-            catalogue = ServiceWatch(name, service, table.wait_s, table.most_stale_s)
+            catalogue = ServiceWatch(name, service, table.wait_s, table.most_stale_s, last_numbers[name])
             try:
                 self.sources.append(CatalogueSource(table.catalogue, token, catalogue, self.on_event))
             except ImportError:
@@ -95,7 +94,13 @@
 
         if registry_sources:
             self.sources.append(
-                RegistrySource(REGISTRY_SOURCE, table.registry, self.socket_settings, self.on_event)
+                RegistrySource(
+                    REGISTRY_SOURCE,
+                    table.registry,
+                    self.socket_settings,
+                    self.on_event,
+                    last_numbers[REGISTRY_SOURCE],
+                )
             )
         self.subscription: NodeSubscription | None = None
         if delivery_sources and delivery_feeds is not None:
@@ -127,17 +132,20 @@
         """One file per source, by index, since a source's name may not be valid as a file name."""
         return f"{self.saved_path_prefix}.{self.core.rules.sources.index(source)}"
 
-    def _restore(self, name: str) -> None:
+    def _restore(self, name: str) -> int:
+        """Puts the saved version of a source into effect. Returns its number, 0 if there is none."""
         if not self.saved_path_prefix:
-            return
+            return 0
         try:
             version = load_version(self._saved_path(name))
         except (OSError, InvalidDocument) as error:
             self.log("warning", f"{self._saved_path(name)}: not used: {error}")
-            return
-        if version is not None and version.source == name:
-            self.log("info", f"{name}: version {version.number} of before, until there is a newer one")
-            self.loop.call_soon(self.on_event, VersionRestored(version))
+            return 0
+        if version is None or version.source != name:
+            return 0
+        self.log("info", f"{name}: version {version.number} of before, until there is a newer one")
+        self.loop.call_soon(self.on_event, VersionRestored(version))
+        return version.number
 
     def on_event(self, event: Event) -> None:
         if isinstance(event, VersionOffered):
--- a/flintlatch/membership/consul.py
+++ b/flintlatch/membership/consul.py
@@ -48,8 +48,10 @@
     time to wait before the next query.
     """
 
-    def __init__(self, source: str, service: str, wait_s: float, max_staleness_s: float) -> None:
-        """Starts without an index.
+    def __init__(
+        self, source: str, service: str, wait_s: float, max_staleness_s: float, last_number: int = 0
+    ) -> None:
+        """Starts without an index. `last_number`: of the version restored after a restart.
 
         `wait_s`: the wait time of a blocking query. `max_staleness_s`: a response is not used if its server
         last had contact with its leader longer ago.
@@ -57,7 +59,7 @@
         self.source, self.service = source, service
         self.wait_s, self.max_staleness_s = wait_s, max_staleness_s
         self.index = 0  # 0: the query doesn't block and gets the current list
-        self.version_number = 0
+        self.version_number = last_number
         self.nodes: tuple[Node, ...] | None = None  # of the version offered last
         self.unhealthy: frozenset[str] = frozenset()
         self.delay_s = 0.0
--- a/flintlatch/membership/files.py
+++ b/flintlatch/membership/files.py
@@ -74,13 +74,14 @@
 class FileSource:
     """Calls `on_event` on the event loop with the events of one file, until it is closed."""
 
-    def __init__(self, name: str, path: str, on_event: Callable[[Event], None]) -> None:
+    def __init__(self, name: str, path: str, on_event: Callable[[Event], None], last_number: int = 0) -> None:
+        """`last_number`: of the version restored after a restart, for contents that state no number."""
         self.name, self.path, self.on_event = name, path, on_event
         self.last_stamp: FileStamp | None = None  # of the content that was handled last
         self.read_stamp: FileStamp | None = None  # of the content being read, set even if it is not valid
         self.failure = ""
         self.read_count = 0
-        self.version_number = 0
+        self.version_number = last_number
         self.task = asyncio.get_running_loop().create_task(self._watch())
 
     def _stamp(self) -> FileStamp | None:
@@ -232,9 +233,11 @@
         return self.read_stamp, Content(tuple(nodes), None)
 
 
-def make_file_source(name: str, path: str, on_event: Callable[[Event], None]) -> FileSource:
+def make_file_source(
+    name: str, path: str, on_event: Callable[[Event], None], last_number: int = 0
+) -> FileSource:
     """Returns a source for a folder if the name ends with a slash, otherwise for a file."""
-    return (FolderSource if name.endswith("/") else FileSource)(name, path, on_event)
+    return (FolderSource if name.endswith("/") else FileSource)(name, path, on_event, last_number)
 
 
 def save_version(path: str, version: Version) -> None:
--- a/flintlatch/membership/registry.py
+++ b/flintlatch/membership/registry.py
@@ -42,10 +42,14 @@
         address: str,
         socket_settings: SocketSettings,
         on_event: Callable[[Event], None],
+        last_number: int = 0,
     ) -> None:
+        """`last_number`: of the version restored after a restart. The wall clock, from which the numbers are
+        made, may have been stepped back since."""
         self.name, self.socket_settings, self.on_event = name, socket_settings, on_event
         self.nodes: dict[str, Node] = {}
-        self.version_number, self.retry_delay_s = 0, RETRY_DELAY_RANGE_S[0]
+        self.version_number, self.retry_delay_s = last_number, RETRY_DELAY_RANGE_S[0]
+        self.has_offered = False
         self.retry_timer: asyncio.TimerHandle | None = None
         self.discovery = Discovery(address, socket_settings, None, self._on_list, self._on_failure)
         self.discovery.watch()
@@ -65,11 +69,11 @@
                     nodes[target.uid] = held._replace(state=NodeState.DRAINING)
             else:
                 nodes[target.uid] = node_from_target(target, zones, kinds)
-        if nodes != self.nodes or not self.version_number:
+        if nodes != self.nodes or not self.has_offered:
             # The registry's revisions restart with it. Version numbers must grow, also over a restart of this
             # process.
             self.version_number = max(self.version_number + 1, int(now_ms()))
-        self.nodes = nodes
+        self.nodes, self.has_offered = nodes, True
         self.on_event(
             VersionOffered(Version(self.name, self.version_number, tuple(nodes.values()), now_ms()))
         )
