--- a/flintlatch/standin/node.py
+++ b/flintlatch/standin/node.py
@@ -96,7 +96,9 @@
     def on_message_complete(self) -> None:
         request_id = self.headers.get(b"x-call-id", b"").decode("latin-1")
         key = self.headers.get(b"idempotency-key")
-        call = Call(self, request_id, key, self.url, bytes(self.body), self.first_byte_ms)
+        budget = self.headers.get(b"x-budget-ms")
+        budget_ms = float(budget) if budget else None
+        call = Call(self, request_id, key, self.url, bytes(self.body), self.first_byte_ms, budget_ms)
         self._reset()
         self.node._receive(call)
 
@@ -111,6 +113,7 @@
     url: bytes
     body: bytes
     first_byte_ms: float
+    budget_ms: float | None = None  # for how long the proxy says that it waits
 
     def reply(self, status: int, body: bytes = b"", headers: bytes = b"") -> None:
         transport = self.connection.transport
