Soak: audit only what a live connection was told, and return servers after the list was empty

Cause: the audit counted answers written to connections of a killed process as told, saved lists were made up instead of being earlier ones, and most runs ended with no server. Change: nothing is told on a connection whose caller has ended; old saved lists are real earlier lists of the present numbering; after all servers were taken away they return.

--- a/flintlatch/standin/soak/clients.py
+++ b/flintlatch/standin/soak/clients.py
@@ -121,6 +121,8 @@
         with suppress(OSError):
             writer = await self._open()
             for byte in self._request()[:60]:
+                if writer.transport.is_closing():
+                    return
                 writer.write(bytes((byte,)))
                 await asyncio.sleep(0.05)
             writer.close()
--- a/flintlatch/standin/soak/registry.py
+++ b/flintlatch/standin/soak/registry.py
@@ -83,8 +83,8 @@
                 if self.down:
                     self.facts.on_unreachable(now_ms())
                 status, body = await self._answer(head.split(b" ", 2)[1].decode())
-                if not await self._write(writer, status, body):
-                    return
+                if reader.at_eof() or not await self._write(writer, status, body):
+                    return  # at the end of the caller's side nothing that is written is told
         except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
         finally:
--- a/flintlatch/standin/soak/run.py
+++ b/flintlatch/standin/soak/run.py
@@ -43,6 +43,7 @@
 FAULT_S = 2.0  # for which servers hang, fail or refuse
 HOLD_UP_S = 0.15
 READY_TIMEOUT_S = 30.0
+MAX_KNOWN_HISTORY = 8
 ALLOWED_LOG = ("bug:", "Traceback", "decision module failed")
 
 
@@ -75,6 +76,7 @@
         self.entries: dict[str, dict[str, Any]] = {}
         self.registries = [SoakRegistry(schedule.seed, self.audit.registry, self.entries) for _ in range(2)]
         self.registry = self.registries[0]
+        self.known_history: list[dict[str, Any]] = []  # of the present numbering
         self.keys: list[dict[bytes, float]] = [{} for _ in range(CELLS)]
         self.servers: dict[str, SoakServer] = {}
         self.server_count = 0
@@ -165,6 +167,7 @@
             self.audit.registry.on_active(server.uid)
         else:
             self.audit.registry.on_change(server.uid, now_ms())
+        self.known_history = [*self.known_history[-MAX_KNOWN_HISTORY:], self._known()]
         for registry in self.registries:
             registry.put(server.uid, server.address, state, cell=server.shape.cell, boot_ms=boot_ms)
 
@@ -241,12 +244,9 @@
         known = self._known()
         choice = self.random.choice(("present", "old", "damaged"))
         if choice == "old":
-            known["targets"] = [entry | {"state": "active"} for entry in known["targets"]]
-            known["rev"] = max(known["rev"] - 5, 0)
+            known = self.random.choice(self.known_history)
         elif choice == "damaged":
             known["targets"] = [*known["targets"], {"uid": 5}, {"uid": "odd", "endpoint": "x"}]
-        if not any(entry["state"] == "active" for entry in known["targets"]):
-            known["targets"] = [entry | {"state": "active"} for entry in known["targets"]]
         await asyncio.sleep(0.05)
         await self._start_program(known)
 
@@ -336,8 +336,10 @@
 
     async def _play_fault(self, kind: Kind, some: list[SoakServer]) -> None:
         if kind is Kind.RENUMBER:
+            self.known_history = []
             for registry in self.registries:
                 registry.renumber(self.random.randint(1, 5))
+            self.known_history = [self._known()]
         elif kind is Kind.OUTAGE:
             self._spawn(self._outage())
         elif kind is Kind.BAD_ANSWERS:
--- a/flintlatch/standin/soak/schedule.py
+++ b/flintlatch/standin/soak/schedule.py
@@ -9,6 +9,7 @@
 
 RUN_S = 12.0  # before the stop
 MIN_EVENTS, MAX_EVENTS = 10, 16
+EMPTY_S = (0.5, 2.0)  # for which no server is active
 
 
 class Family(Enum):
@@ -91,7 +92,10 @@
         events = []
         for _ in range(random.randint(MIN_EVENTS, MAX_EVENTS)):
             kind = random.choice(kinds if random.random() < 0.5 else LIST_KINDS)
-            events.append(Event(random.uniform(0.5, RUN_S - 0.5), kind))
+            event = Event(random.uniform(0.5, RUN_S - 0.5), kind)
+            events.append(event)
+            if kind in (Kind.DRAIN_ALL, Kind.REMOVE_ALL):  # so that there is traffic to audit again
+                events.append(Event(event.at_s + random.uniform(*EMPTY_S), Kind.RETURN_ALL))
         step_s = random.choice((0.0, 3600.0, -3600.0, 5.0, -5.0)) if Family.CLOCKS in drawn else 0.0
         return cls(
             seed,
