Count the wait of a connection in the kernel's queue as the client's time

Seen by callers: with clients on all connections, servers were told up to 0.5 s more than the client had left, and answers came as late. Cause: a request's time began when the proxy read it. At the connection limit, or after a failed accept, a connection waits in the kernel's queue with its request already written, which counts as taken. Change: while accepting is delayed, a new connection remembers since when; its first bytes count from tcpi_last_data_recv of TCP_INFO, at most for that long, or for that long if the kernel does not tell. Also: the soak's clients count a request from its write, as the protocol does; before, their own wait for a connection was audited.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -15,7 +15,15 @@
 from flintlatch.net.clock import now_ms
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Answer, Engine
-from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Headers, has_unread_data, peer_closed, split_address
+from flintlatch.net.http1 import (
+    MAX_BODY,
+    MAX_HEAD,
+    Headers,
+    has_unread_data,
+    ms_since_last_data,
+    peer_closed,
+    split_address,
+)
 from flintlatch.net.log import log
 from flintlatch.net.request import Message, Reader, RequestError, check_framing
 
@@ -96,6 +104,9 @@
         self.unparsed = b""  # received, but not parsed yet
         self.request_started = False  # a request has begun and is not complete
         self.last_data_ms = 0.0  # time at which bytes of a request last arrived
+        # Since when this connection may have waited to be accepted; None: it was accepted at once.
+        self.queued_since_ms: float | None = None
+        self.wait_in_kernel_ms = 0.0  # of the bytes being read
         self._reset()
 
     def _reset(self) -> None:
@@ -142,7 +153,12 @@
             return
         self.unparsed = self.unparsed + data if self.unparsed else data
         self.last_data_ms = now_ms()
+        if self.queued_since_ms is not None:
+            longest_wait_ms = self.last_data_ms - self.queued_since_ms
+            self.wait_in_kernel_ms = min(longest_wait_ms, ms_since_last_data(self.transport))
+            self.queued_since_ms = None
         self._process()
+        self.wait_in_kernel_ms = 0.0
 
     def _process(self) -> None:
         """Handles queued requests in order, and parses more while few are queued."""
@@ -252,7 +268,8 @@
             return
         assert self.parser is not None
         method, keep = self.parser.get_method(), self.parser.should_keep_alive()
-        self.queue.append(Message(method, self._target, self._headers, bytes(self._body), keep, now_ms()))
+        arrived_ms = now_ms() - self.wait_in_kernel_ms
+        self.queue.append(Message(method, self._target, self._headers, bytes(self._body), keep, arrived_ms))
         self.request_started = False
         self._reset()
 
@@ -370,6 +387,8 @@
         self.on_connection_count: Callable[[int], None] | None = None
         self.should_pause_accepting: Callable[[], bool] | None = None
         self.accept_pause_s, self.accept_pause_over = 0.0, False
+        # Since when connections have waited in the kernel's queue; None: they are accepted as they come.
+        self.accept_delayed_since_ms: float | None = None
         self.sweep_timer: asyncio.TimerHandle | None = None
 
     def make_client(self) -> Client:
@@ -436,6 +455,10 @@
         self.accept_pause_over = False
         for _ in range(self.accepts_per_turn):
             result = self._accept_one(listener)
+            if result is AcceptResult.EMPTY:
+                self.accept_delayed_since_ms = None
+            elif self.accept_delayed_since_ms is None and result is not AcceptResult.ACCEPTED:
+                self.accept_delayed_since_ms = now_ms()
             if result in (AcceptResult.FULL, AcceptResult.FAILED):
                 self._retry_accepting_later()  # new connections wait in the kernel's queue
             if result is not AcceptResult.ACCEPTED:
@@ -463,7 +486,9 @@
         self.connection_count += 1
         if self.on_connection_count is not None:
             self.on_connection_count(self.connection_count)
-        task = self.loop.create_task(self.loop.connect_accepted_socket(self.make_client, sock))
+        client = self.make_client()
+        client.queued_since_ms = self.accept_delayed_since_ms
+        task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: client, sock))
         self.opening_tasks.add(cast("asyncio.Task[object]", task))
         task.add_done_callback(self._on_opened)
         # The descriptor of an evicted client is freed only after this loop turn.
--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -5,6 +5,9 @@
 
 import asyncio
 import select
+import socket
+import struct
+from math import inf
 from typing import NamedTuple, cast
 
 import httptools
@@ -15,6 +18,9 @@
 
 # 1xx responses before the final one; a server that sends more only delays the client.
 MAX_INTERIM_RESPONSES = 8
+# The member tcpi_last_data_recv of struct tcp_info, linux/tcp.h.
+LAST_DATA_RECEIVED, LAST_DATA_RECEIVED_AT = struct.Struct("=I"), 52
+TCP_INFO_BYTES = 104
 BODYLESS_STATUSES = frozenset((204, 205, 304))  # responses without a body, which need no Content-Length
 
 
@@ -46,6 +52,17 @@
     return transport.is_closing() or has_poll_event(transport, select.POLLRDHUP)
 
 
+def ms_since_last_data(transport: asyncio.Transport) -> float:
+    """Milliseconds since the kernel received the last bytes on this connection, tcp(7); infinite if the
+    kernel does not tell."""
+    try:
+        connection = transport.get_extra_info("socket")
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        return float(LAST_DATA_RECEIVED.unpack_from(info, LAST_DATA_RECEIVED_AT)[0])
+    except (OSError, struct.error):
+        return inf
+
+
 class Response(NamedTuple):
     status: int
     headers: Headers
--- a/flintlatch/standin/client.py
+++ b/flintlatch/standin/client.py
@@ -47,6 +47,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.pending, self.message, self.received_bytes = request, message, 0
         self.request_count += 1
+        self.owner.on_write(request)
         timeout_s = (request.deadline_ms + LATE_ANSWER_MS - now_ms()) / 1000
         self.timer = asyncio.get_running_loop().call_later(max(timeout_s, 0.0), self._time_out)
         self.transport.write(message)
@@ -219,6 +220,9 @@
     def retry(self, request: RequestRecord, message: bytes) -> None:
         self._send(request, message, new_connection=True)
 
+    def on_write(self, request: RequestRecord) -> None:
+        """Called before a request is written to a connection."""
+
     # Answers
 
     def on_answer(self, request: RequestRecord, status: int) -> None:
--- a/flintlatch/standin/soak/clients.py
+++ b/flintlatch/standin/soak/clients.py
@@ -41,6 +41,11 @@
             asyncio.get_running_loop().call_later(delay_s, self._leave, request)
         return request
 
+    def on_write(self, request: RequestRecord) -> None:
+        """The time of a request counts from its last byte, not from its wait for a connection."""
+        request.sent_ms = now_ms()
+        request.deadline_ms = request.sent_ms + request.spec.deadline_ms
+
     def _leave(self, request: RequestRecord) -> None:
         for connection in list(self.connections):
             if connection.pending is request:
