Repeat saves that fail, and never let an older version overtake a newer one on disk

A version that was accepted while the disk failed was never saved, so a restart went back to an older list with nodes that had drained since; two saves could also overtake each other. The origin's record of its last revision was not saved again either. Cause: NodeSources._save and Source._save_record tried once and logged; each save ran in a thread of its own. Change: membership/saving.py keeps the newest unsaved version of a source, saves one at a time and repeats each second; the origin repeats with its poll.

--- a/flintlatch/delivery/run.py
+++ b/flintlatch/delivery/run.py
@@ -79,6 +79,7 @@
         if loaded is not None and (names := source.commit(*loaded)) is not None:
             server.committed(names)
             log(f"revision {server.store.revision}: {len(names)} of {len(loaded[0])} objects changed")
+        source.retry_save()
         await wait_for_event(stopped, POLL_INTERVAL_S)
     server.close()
     log("stopped")
--- a/flintlatch/delivery/source.py
+++ b/flintlatch/delivery/source.py
@@ -146,6 +146,7 @@
         self.last_confirmed = False  # the last committed content had the confirmation key
         self.committed = False  # this process has committed
         self.record = CommitRecord()
+        self.is_record_saved = True
         try:
             self.record = read_record(state_path)
         except FileNotFoundError:
@@ -217,12 +218,20 @@
         return f"{lost_items} of {items} items" if 2 * lost_items > items else ""
 
     def _save_record(self, record: CommitRecord) -> None:
-        self.record = record
+        self.record, self.is_record_saved = record, False
+        self.retry_save()
+
+    def retry_save(self) -> None:
+        """Saves the record of the last commit if that has failed so far."""
+        if self.is_record_saved:
+            return
+        record = self.record
         temporary_path = f"{self.state_path}.new"
         row = {"revision": record.revision, "objects": record.objects, "items": record.items}
         try:
             with open(temporary_path, "wb") as file:
                 file.write(orjson.dumps(row) + b"\n")
             os.replace(temporary_path, self.state_path)
+            self.is_record_saved = True
         except OSError as error:
             self._log(f"{self.state_path}: {error.strerror or error}; the record was not saved")
--- a/flintlatch/fleet/members.py
+++ b/flintlatch/fleet/members.py
@@ -33,8 +33,9 @@
 )
 from flintlatch.membership.catalogue import CatalogueSource
 from flintlatch.membership.consul import ServiceWatch
-from flintlatch.membership.files import FileSource, load_version, make_file_source, save_version
+from flintlatch.membership.files import FileSource, load_version, make_file_source
 from flintlatch.membership.registry import RegistrySource
+from flintlatch.membership.saving import VersionSaver
 from flintlatch.net.clock import now_ms
 from flintlatch.net.listing import Listing, Target
 from flintlatch.settings import SocketSettings
@@ -73,7 +74,7 @@
         )
         self.last_offer_ms = 0.0
         self.saved_path_prefix = resolve_config_path(config.path, table.keep) if table.keep else ""
-        self.pending_saves: set[asyncio.Future[None]] = set()
+        self.savers: dict[str, VersionSaver] = {}  # by source
         self.wake_timer: asyncio.TimerHandle | None = None
         self.accepted_count = self.rejected_count = 0
         self.last_rejection = ""
@@ -198,18 +199,15 @@
         self.on_listing(Listing(action.revision, False, (*removed, *updated)))
 
     def _save(self, version: Version) -> None:
-        """Saves an accepted version in a thread; a failure is logged and has no other effect."""
+        """Saves an accepted version in a thread; a failure is logged and the save is repeated."""
         if not self.saved_path_prefix:
             return
-
-        def on_done(save: asyncio.Future[None]) -> None:
-            self.pending_saves.discard(save)
-            if not save.cancelled() and (error := save.exception()) is not None:
-                self.log("warning", f"{self._saved_path(version.source)}: version not saved: {error}")
-
-        save = self.loop.run_in_executor(None, save_version, self._saved_path(version.source), version)
-        self.pending_saves.add(save)
-        save.add_done_callback(on_done)
+        saver = self.savers.get(version.source)
+        if saver is None:
+            path = self._saved_path(version.source)
+            saver = VersionSaver(path, lambda reason: self.log("warning", f"{path}: {reason}"))
+            self.savers[version.source] = saver
+        saver.save(version)
 
     def confirm(self, source: str, number: int) -> dict[str, Any]:
         held = self.core.sources[source].held if source in self.core.sources else None
@@ -249,6 +247,8 @@
             self.wake_timer.cancel()
         for source in self.sources:
             source.close()
+        for saver in self.savers.values():
+            saver.close()
 
 
 def target_of(node: Node, socket_settings: SocketSettings, state: ServerState | None = None) -> Target:
--- a/tests/delivery/test_source.py
+++ b/tests/delivery/test_source.py
@@ -11,7 +11,7 @@
 import pytest
 
 from flintlatch.delivery import source as module
-from flintlatch.delivery.source import CONFIRM_KEY, InvalidFile, Source, parse
+from flintlatch.delivery.source import CONFIRM_KEY, InvalidFile, Source, parse, read_record
 from flintlatch.delivery.store import Store
 
 
@@ -198,6 +198,9 @@
     (tmp_path / "kept").mkdir()
     origin = Origin(tmp_path)
     assert origin.poll() is not None and "was not saved" in origin.log_lines[-1]
+    (tmp_path / "kept").rmdir()
+    origin.source.retry_save()
+    assert read_record(str(tmp_path / "kept")) == origin.source.record
 
 
 def test_parse_errors_name_what_was_found() -> None:
