Take lists of up to 2 MiB, twice the largest fleet's when indented

Seen by callers: nothing in the reports; found by asking which valid values a check refuses. A list of 3,200 servers, indented by four, takes 1,008,056 bytes (measured with the names of the site); slightly longer names exceeded the 1 MiB that the proxy took, and then no list came through at all. Cause: the limit was chosen for compact lists. Tests: the largest fleet's indented list has to fit into three quarters of the limit; failed before. Memory with a list near the new limit was not measured.

--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -31,7 +31,8 @@
 # far above the agent's response time.
 AGENT_TIMEOUT_MS = 250
 AGENT_RETRY_DELAY_S = 0.05
-MAX_LIST = 1024 * 1024  # bytes, about 8,000 servers; the process may have only 32 MB of memory
+# Bytes: twice 3,200 indented entries. The process may have only 32 MB of memory.
+MAX_LIST = 2 * 1024 * 1024
 QUIET_S = 0.02  # without a byte of a list that has begun
 RESYNC_INTERVAL_S = 1.0  # between two polls that follow an outdated revision at once
 
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import orjson
@@ -10,6 +11,7 @@
 from hypothesis import strategies as st
 
 from flintlatch.api import ServerState
+from flintlatch.net.discovery import MAX_LIST
 from flintlatch.net.listing import read_incomplete_listing, read_listing, restricted
 from flintlatch.settings import Malformed, SocketSettings
 from tests.loopback import listing, target
@@ -78,3 +80,10 @@
     ]
     assert [t.uid for t in read.targets] == expected if read is not None else not expected
     assert read is None or (read.revision == 3 and not read.is_snapshot)
+
+
+def test_the_longest_indented_list_of_the_largest_fleet_fits_the_limit() -> None:
+    entry = target("s-5be2a07c", "127.145.200.18:30000", "leaving", 1764807765123)
+    entry |= {"az": "a-zone-with-a-long-name", "model": "standard", "capacity_hint": 0.8345678901234567}
+    body = json.dumps(listing(7, *[entry] * 3200), indent=4)
+    assert len(body) < 0.75 * MAX_LIST
