Never fail or wait for a log that is closed or not read

Seen by callers: nothing in the reports; found while a log line of the new events was traced. Standard error that nobody reads blocked the whole proxy once its pipe was full, and a closed one raised in the middle of what was logged, for instance before a list was applied. Cause: Logger.write printed without asking; the error path of the log acted on what it reported. Change: a line is written only if standard error takes it at once (poll), cut to what a pipe takes without waiting; what is not taken is counted with the dropped lines. Tests: test_a_log_that_is_closed_or_not_read_neither_fails_nor_blocks, three cases. Measured: tests of visibility, engine and program pass.

--- a/flintlatch/net/log.py
+++ b/flintlatch/net/log.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+import select
 import sys
 
 from flintlatch.net.clock import now_ms
@@ -15,6 +16,8 @@
 MAX_LINES_PER_S = 20
 MAX_REQUEST_LINES_PER_S = 5  # separate, so that many failing requests don't suppress the state transitions
 
+MAX_LINE_CHARS = 4000  # below PIPE_BUF
+
 # Other values are quoted.
 PLAIN_VALUE = re.compile(r"[!#-<>-~]+")
 
@@ -56,7 +59,27 @@
         return False
 
     def write(self, line: str) -> None:
-        print(f"flintlatch: {line}", file=sys.stderr, flush=True)
+        """Writes a line, or counts it as dropped if standard error does not take it at once: a log that is
+        closed or not read must neither fail nor delay what is logged."""
+        try:
+            if accepts_line():
+                print(f"flintlatch: {line}"[:MAX_LINE_CHARS], file=sys.stderr, flush=True)
+                return
+        except (OSError, ValueError):  # closed
+            pass
+        self.dropped += 1
+
+
+def accepts_line() -> bool:
+    """Whether standard error takes MAX_LINE_CHARS without blocking. A pipe that can be written to at all
+    takes PIPE_BUF bytes, pipe(7)."""
+    try:
+        descriptor = sys.stderr.fileno()
+    except (OSError, ValueError):
+        return True  # replaced by an object without a descriptor
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT)
+    return any(events & select.POLLOUT for _, events in poll.poll(0))
 
 
 def field_text(value: Field) -> str:
--- a/flintlatch/standin/soak/run.py
+++ b/flintlatch/standin/soak/run.py
@@ -197,6 +197,7 @@
                 self.config,
                 LB_LISTEN=self.address,
                 PYTHONPATH=str(self.program_folder),
+                PYTHONSAFEPATH="1",  # the present folder may hold another text
                 TMPDIR=str(self.folder),
                 **self.shim.environment(),
             )
--- a/tests/test_visibility.py
+++ b/tests/test_visibility.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import json
+import os
 import re
+import subprocess
+import sys
 import time
 
 import pytest
@@ -107,3 +110,34 @@
     log.event("e", number=10)
     numbers = [event["number"] for event in events_of(capsys.readouterr().err, "e")]
     assert numbers[:2] == ["0", "1"] and numbers[-1] == "10" and len(numbers) <= 5
+
+
+PROGRAM_WITH_A_LOG = """
+import os, sys
+from flintlatch.net.log import Logger
+log = Logger(max_lines_per_s=10**9)
+if sys.argv[1] == "closed":
+    os.close(2)
+for number in range(3000):
+    log.event("e", number=number, text="x" * 100)
+log("y" * 100_000)
+os.write(1, b"done %d" % (log.dropped > 0))
+"""
+
+
+@pytest.mark.parametrize("how", ["closed", "reader gone", "not read"])
+def test_a_log_that_is_closed_or_not_read_neither_fails_nor_blocks(how: str) -> None:
+    reading, writing = os.pipe()
+    if how == "reader gone":
+        os.close(reading)
+    done = subprocess.run(
+        [sys.executable, "-c", PROGRAM_WITH_A_LOG, how],
+        stdout=subprocess.PIPE,
+        stderr=writing,
+        timeout=30,
+        check=True,
+    )
+    assert done.stdout == b"done 1"
+    os.close(writing)
+    if how != "reader gone":
+        os.close(reading)
