Soak: more whole lists, longer times without a server, and servers that hang through a stop

Cause: with faults put into the program on purpose, a refused empty list was not found in six runs (most answers were deltas, and servers returned at once), nor was an end of the process without its last answers (no server was slow then). Change: the fraction of whole lists is drawn for each run, the list stays empty for up to 3.5 s, and in half of the runs half of the servers hang through the stop.

--- a/flintlatch/standin/soak/registry.py
+++ b/flintlatch/standin/soak/registry.py
@@ -56,7 +56,7 @@
         self.random = Random(f"{seed}/registry")
         self.facts, self.entries = facts, entries
         self.bad_fraction = 0.0  # of the answers
-        self.snapshot_fraction = 0.2  # of the answers that could be deltas
+        self.snapshot_fraction = Random(f"{seed}/form").choice((0.1, 0.5, 1.0))  # instead of deltas
 
     def renumber(self, rev: int) -> None:
         """Behave like a restarted service that numbers its revisions anew."""
--- a/flintlatch/standin/soak/run.py
+++ b/flintlatch/standin/soak/run.py
@@ -42,6 +42,7 @@
 OUTAGE_S = 2.5
 FAULT_S = 2.0  # for which servers hang, fail or refuse
 HOLD_UP_S = 0.15
+HANG_AT_STOP_FRACTION = 0.5  # of the runs: half of the servers hang through the stop
 READY_TIMEOUT_S = 30.0
 MAX_KNOWN_HISTORY = 8
 ALLOWED_LOG = ("bug:", "Traceback", "decision module failed")
@@ -257,6 +258,9 @@
         if not self.is_up:
             return
         process = self.program.process
+        if self.random.random() < HANG_AT_STOP_FRACTION:
+            for server in self._active()[: SERVERS // 2]:
+                server.hangs = True
         started_at = asyncio.get_running_loop().time()
         for _ in range(self.schedule.term_signals):
             process.send_signal(signal.SIGTERM)
--- a/flintlatch/standin/soak/schedule.py
+++ b/flintlatch/standin/soak/schedule.py
@@ -9,7 +9,7 @@
 
 RUN_S = 12.0  # before the stop
 MIN_EVENTS, MAX_EVENTS = 10, 16
-EMPTY_S = (0.5, 2.0)  # for which no server is active
+EMPTY_S = (0.5, 3.5)  # for which no server is active
 
 
 class Family(Enum):
