--- a/flintlatch/standin/shim.c
+++ b/flintlatch/standin/shim.c
@@ -143,10 +143,12 @@
     return real(fd);
 }
 
+/* Whether it is a socket of the network: a pipe or a local socket may carry a log that is not written twice. */
 static int is_socket(int fd)
 {
-    struct stat found;
-    return !fstat(fd, &found) && S_ISSOCK(found.st_mode);
+    int domain = 0;
+    socklen_t size = sizeof domain;
+    return !getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &size) && domain == AF_INET;
 }
 
 static int breaks(int fd)
