--- a/flintlatch/standin/soak/run.py
+++ b/flintlatch/standin/soak/run.py
@@ -38,7 +38,7 @@
 OBLIGATIONS = {"ColdMs": 4000.0, "StartCapacity": 0.1, "FallMultiple": 3.0, "OverloadForMs": 1500.0}
 LONGEST_DEADLINE_S = 1.2
 KILL_AFTER_DEADLINE_S = 0.7  # the earliest SIGKILL after SIGTERM, on top of the longest deadline
-NEW_CONNECTIONS_AFTER_TERM_S = 0.4
+NEW_CONNECTIONS_AFTER_TERM_S = (0.2, 0.4)
 OUTAGE_S = 2.5
 FAULT_S = 2.0  # for which servers hang, fail or refuse
 HOLD_UP_S = 0.15
@@ -269,10 +269,11 @@
             await asyncio.sleep(self.random.uniform(0.0, 0.1))
         loop = asyncio.get_running_loop()
         kill_at = started_at + LONGEST_DEADLINE_S + KILL_AFTER_DEADLINE_S
+        last_connect_at = started_at + self.random.uniform(*NEW_CONNECTIONS_AFTER_TERM_S)
         names, weights = list(MIX), list(MIX.values())
         while loop.time() < kill_at and process.returncode is None:
             name = self.random.choices(names, weights)[0]
-            if loop.time() < started_at + NEW_CONNECTIONS_AFTER_TERM_S / 2:
+            if loop.time() < last_connect_at:
                 self.clients.ask(name)
             else:
                 self.clients.reuse_only = True
