Ask again when a signal interrupts a look at a socket

The same look decides whether a connection may be closed and whether a client is still there, so an interrupted one resets an unread request or sends on for a client that has left. Cause: poll(2) without a time to wait ends with EINTR if a signal is pending, and Python then returns an empty list: PEP 475 repeats only what remains of the timeout. Tests: test_bytes_are_found_although_waits_are_interrupted, with the shim, failed with one attempt.

--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -12,6 +12,8 @@
 
 import httptools
 
+from flintlatch.net.polling import has_event
+
 MAX_BODY = 64 * 1024  # bytes
 MAX_HEAD = 16 * 1024  # bytes
 Headers = list[tuple[bytes, bytes]]  # names in lower case
@@ -35,9 +37,7 @@
 def has_poll_event(transport: asyncio.Transport, events: int) -> bool:
     """Whether the kernel reports any of these poll events, or an error, that the loop has not handled yet.
     The connection must be open."""
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), events)
-    return bool(poll.poll(0))
+    return has_event(transport.get_extra_info("socket").fileno(), events)
 
 
 def has_unread_data(transport: asyncio.Transport) -> bool:
--- a/flintlatch/net/log.py
+++ b/flintlatch/net/log.py
@@ -12,6 +12,7 @@
 import sys
 
 from flintlatch.net.clock import now_ms
+from flintlatch.net.polling import has_event
 
 MAX_LINES_PER_S = 20
 MAX_REQUEST_LINES_PER_S = 5  # separate, so that many failing requests don't suppress the state transitions
@@ -77,9 +78,7 @@
         descriptor = sys.stderr.fileno()
     except (OSError, ValueError):
         return True  # replaced by an object without a descriptor
-    poll = select.poll()
-    poll.register(descriptor, select.POLLOUT)
-    return any(events & select.POLLOUT for _, events in poll.poll(0))
+    return has_event(descriptor, select.POLLOUT)
 
 
 def field_text(value: Field) -> str:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -34,6 +34,7 @@
     "flintlatch.net.listing",
     "flintlatch.net.log",
     "flintlatch.net.relay",
+    "flintlatch.net.polling",
     "flintlatch.net.request",
     "flintlatch.net.starts",
     "flintlatch.net.transient",
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -6,6 +6,7 @@
 import errno
 import os
 import socket
+import subprocess
 import sys
 from pathlib import Path
 
@@ -13,6 +14,7 @@
 
 from flintlatch.net import transient
 from flintlatch.net.transient import retry_transient
+from flintlatch.standin.shim import CallFault, Shim, compile_shim
 from tests.loopback import Client, ScriptedServer, configuration, proxy, run, target
 from tests.test_program import write_config
 
@@ -120,3 +122,30 @@
         backend.close()
 
     run(test())
+
+
+PROGRAM_THAT_POLLS = """
+import os, select
+from flintlatch.net.polling import has_event
+
+reading, writing = os.pipe()
+os.write(writing, b"x")
+print(sum(has_event(reading, select.POLLIN) for _ in range(2000)))
+"""
+
+
+def test_bytes_are_found_although_waits_are_interrupted(tmp_path: Path) -> None:
+    """A request that is overlooked is reset with its connection, and a client that has left is sent on."""
+    shim = Shim(compile_shim(tmp_path), tmp_path / "control", 1)
+    shim.set_probability(CallFault.INTERRUPT, 0.02)
+    program = subprocess.run(
+        [sys.executable, "-c", PROGRAM_THAT_POLLS],
+        env=dict(os.environ) | shim.environment(),
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=True,
+    )
+    assert shim.injected()[CallFault.INTERRUPT] > 10
+    assert int(program.stdout) == 2000
+    shim.close()
