--- a/flintlatch/standin/soak/run.py
+++ b/flintlatch/standin/soak/run.py
@@ -17,6 +17,7 @@
 from flintlatch.net.clock import now_ms
 from flintlatch.standin.ledger import Ledger
 from flintlatch.standin.node import Fault, Shape
+from flintlatch.standin.process import remote_ports
 from flintlatch.standin.proxy import ProxyProcess, configuration, free_address
 from flintlatch.standin.shim import CallFault, Shim
 from flintlatch.standin.soak.audit import Audit
@@ -238,8 +239,7 @@
         self.is_up = False
         process = self.program.process
         process.send_signal(signal.SIGSTOP)
-        # Also those that it had not accepted yet: they end with it.
-        ports = {connection.port for connection in self.clients.connections}
+        ports = remote_ports(process.pid)
         self.clients.excuse(ports, "the process was killed")
         process.kill()
         await process.wait()
