--- a/review/1/case.py
+++ b/review/1/case.py
@@ -54,7 +54,7 @@
 async def good_request(port: int, record: rig.Record, dice: random.Random) -> str:
     """Sends one request on a new connection. Returns its status, or "lost"."""
     call, (cls, budget_ms) = rig.new_call(), dice.choice(CLASSES)
-    sent_at = time.monotonic()
+    sent_at, writer = time.monotonic(), None
     try:
         async with asyncio.timeout(budget_ms / 1000 + SLACK_S):
             reader, writer = await asyncio.open_connection(rig.HOST, port)
@@ -63,16 +63,21 @@
             head = await rig.read_head(reader)
             if head is not None:
                 await rig.read_body(reader, head)
-            writer.close()
     except TimeoutError:
         ms = (time.monotonic() - sent_at) * 1000
+        if writer is None or rig.unacknowledged_bytes(writer.get_extra_info("socket")):
+            record.line(f"{call}: the proxy's machine does not have it; it was not taken")
+            return "not taken"
         record.line(
-            f"{call}: LOST, connected and written, no answer {ms:.0f} ms later (budget {budget_ms} ms)"
+            f"{call}: LOST, the proxy's machine has it, {ms:.0f} ms later no answer (of {budget_ms} ms)"
         )
         return "lost"
     except OSError as error:
         record.line(f"{call}: {error}")
         return "shut unread"
+    finally:
+        if writer is not None:
+            writer.close()
     if head is None:
         record.line(f"{call}: closed with no answer")
         return "shut unread"
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,13 +8,11 @@
 
 import asyncio
 import contextlib
-import fcntl
 import random
 import select
 import socket
 import struct
 import sys
-import termios
 import threading
 import time
 from pathlib import Path
@@ -74,11 +72,6 @@
             writer.close()
 
 
-def unacknowledged_bytes(sock: socket.socket) -> int:
-    """Bytes that the peer's machine does not have yet, tcp(7) SIOCOUTQ."""
-    return int(struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0\0\0\0"))[0])
-
-
 def upload(port: int, record: rig.Record, dice: random.Random) -> str:
     """Sends one request on a new connection. Returns what became of it."""
     call = rig.new_call()
@@ -97,9 +90,9 @@
                     break  # answered, or closed
             else:
                 until = time.monotonic() + 5.0
-                while unacknowledged_bytes(sock) and time.monotonic() < until:
+                while rig.unacknowledged_bytes(sock) and time.monotonic() < until:
                     time.sleep(0.001)
-                if unacknowledged_bytes(sock):
+                if rig.unacknowledged_bytes(sock):
                     raise TimeoutError
         except TimeoutError:
             record.line(f"{call}: its last byte could not be written within 5 s; it was not taken")
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -7,12 +7,15 @@
 
 import asyncio
 import contextlib
+import fcntl
 import json
 import os
 import shutil
 import socket
+import struct
 import sys
 import tempfile
+import termios
 import time
 import tomllib
 from collections.abc import Awaitable, Callable
@@ -432,6 +435,11 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def unacknowledged_bytes(sock: Any) -> int:
+    """Bytes written to a connection that the peer's machine does not have yet, tcp(7) SIOCOUTQ."""
+    return int(struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0\0\0\0"))[0])
+
+
 def new_call() -> str:
     return os.urandom(8).hex()
 
