Name the states of client connections: none owes an answer unseen by a timer

Cause: one flag, `closing`, meant "reads no more", "closes after this" and "is gone". `_reject` set it for the first, `PlatformClient._process_next` took it for the last. The groups were three dictionaries beside it, and a connection that owed an answer was in none.

Change: `net/connections.py` has an enumeration of states, a table of transitions and the groups with their time limits and eviction; `closing` is derived from the state.

Related, each with its test: - an open request was lost when over 1 MiB followed the unreadable bytes: the connection is not read any more instead of aborted while an answer is owed - a request that stops behind an open one had 2.5 s from that one's answer; its time counts from its first byte now - a client that closes its side and reads nothing held its place for ever - requests behind unread responses went on being served into memory; they wait now, in both front ends, and a client that takes nothing for 15 s is ended - one connection that must not be evicted hid all behind it in its group

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -21,8 +21,8 @@
 from flintlatch.api import ListKind, Settings
 from flintlatch.net.backends import split_descriptors
 from flintlatch.net.discovery import Discovery
-from flintlatch.net.frontend import open_listener
 from flintlatch.net.http1 import split_address
+from flintlatch.net.listener import open_listener
 from flintlatch.net.listing import Listing, read_listing
 from flintlatch.net.log import log
 from flintlatch.net.transient import retry_transient
--- a/flintlatch/fleet/listeners.py
+++ b/flintlatch/fleet/listeners.py
@@ -7,8 +7,8 @@
 import socket
 from collections.abc import Sequence
 
-from flintlatch.net.frontend import open_listener
 from flintlatch.net.http1 import split_address
+from flintlatch.net.listener import open_listener
 
 BIND_RETRY_INTERVAL_S = 0.02  # while the address is in use
 ListenerKey = tuple[str, int]  # a configured address, and its index among equal ones (several with port 0)
--- a/flintlatch/http/front.py
+++ b/flintlatch/http/front.py
@@ -18,10 +18,12 @@
 from flintlatch.http.head import HeadLimits, RequestHead, find_head_end, read_request_head
 from flintlatch.http.rules import RoutingRules
 from flintlatch.http.sockets import MAX_READ_BYTES, WRITE_HIGH_WATER_BYTES, limit_socket_buffers, write_body
+from flintlatch.net.client import READY_PATH, REASON_PHRASES, Client
 from flintlatch.net.clock import now_ms
+from flintlatch.net.connections import ConnectionState
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Answer
-from flintlatch.net.frontend import READY_PATH, REASON_PHRASES, Client, Frontend
+from flintlatch.net.frontend import Frontend
 from flintlatch.net.relay import Refusal, RelayEngine
 
 if TYPE_CHECKING:
@@ -55,7 +57,6 @@
         limit_socket_buffers(transport, True)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.closing = True
         self.buffer.clear()
         exchange, self.exchange = self.exchange, None
         self.frontend.on_client_lost(self)
@@ -72,17 +73,27 @@
         9112 section 9.6."""
         request_complete = self.body is not None and self.body.done
         if self.closing or self.exchange is None or not request_complete:
+            if self.exchange is None:
+                self._linger_for_unread_responses()
             return False
         self.half_closed, self.keep_alive = True, False
         return True
 
     def pause_writing(self) -> None:
+        super().pause_writing()
         if self.exchange is not None:
             self.exchange.set_client_blocked(True)
 
     def resume_writing(self) -> None:
         if self.exchange is not None:
             self.exchange.set_client_blocked(False)
+        super().resume_writing()
+
+    def may_start_request(self) -> bool:
+        return self.exchange is None and not self.writing_blocked
+
+    def waits_for_reader(self) -> bool:
+        return self.exchange is None and self.writing_blocked
 
     # Reading requests
 
@@ -92,6 +103,8 @@
             return
         exchange, body = self.exchange, self.body
         if exchange is None or body is None or body.done or self.buffer or len(data) > exchange.room:
+            if not self.buffer:
+                self._on_request_bytes()
             self.buffer += data
             self.process_buffer()
             return
@@ -104,6 +117,11 @@
         if self.buffer or body.done or exchange.room <= 0 or exchange.has_ended:
             self.process_buffer()
 
+    def _on_request_bytes(self) -> None:
+        """The first bytes of a request have arrived. The first request's time counts from connecting."""
+        if self.response_sent or self.exchange is not None:
+            self.reading_since_ms = now_ms()
+
     def process_buffer(self) -> None:
         """Processes the buffered bytes and pauses or resumes reading by the room that is left."""
         if self.processing:
@@ -121,15 +139,14 @@
         if self.transport.is_closing() or self.closing:
             return
         exchange = self.exchange
-        if exchange is None:
+        if exchange is None and self.buffer and self.writing_blocked:
+            self._set_reading(len(self.buffer) <= MAX_PIPELINED_BYTES)
+            self.connections.move(self, ConnectionState.SERVING)
+        elif exchange is None:
             self._set_reading(True)
             self.request_started = bool(self.buffer)
-            group = (
-                self.frontend.reading_clients
-                if self.request_started or not self.response_sent
-                else self.frontend.idle_clients
-            )
-            self.frontend.move_client(self, group)
+            reading = self.request_started or not self.response_sent
+            self.connections.move(self, ConnectionState.READING if reading else ConnectionState.IDLE)
         else:
             # Only reading detects that a client has left. So reading continues up to a limit while the client
             # waits for its response.
@@ -137,8 +154,9 @@
             self._set_reading(
                 len(self.buffer) <= max_ahead_bytes and (max_ahead_bytes > 0 or exchange.room > 0)
             )
-            self.frontend.move_client(self, None)
+            self.connections.move(self, ConnectionState.SERVING)
 
+    _process = process_buffer
     resume_upload = process_buffer  # called when there is room again for the upload
 
     def _set_reading(self, reading: bool) -> None:
@@ -146,6 +164,7 @@
             self.reading = reading
             if reading:
                 self.transport.resume_reading()
+                self.reading_since_ms = now_ms()
             else:
                 self.transport.pause_reading()
 
@@ -155,7 +174,7 @@
             return False
         exchange, body = self.exchange, self.body
         if exchange is None:
-            return self._read_head()
+            return self.may_start_request() and self._read_head()
         room = exchange.room
         if body is None or body.done or room <= 0:
             return False  # a pipelined request waits for the current response, the body waits for room
@@ -172,6 +191,7 @@
         pieces, rest = body.feed(data)
         if rest:
             self.buffer[:0] = rest
+            self._on_request_bytes()
         now_s = now_ms() / 1000
         if pieces:
             exchange.receive_body(now_s, pieces)
@@ -298,7 +318,7 @@
     def reset(self) -> None:
         """Aborts the connection. The missing last chunk or bytes show the client that the response is
         incomplete."""
-        self.transport.abort()
+        self.abort()
 
     def unsent_bytes(self) -> int:
         return self.transport.get_write_buffer_size()
@@ -333,7 +353,7 @@
             if not self.closing:
                 self.close_lingering()
             return
-        self.frontend.loop.call_soon(self.process_buffer)
+        self.front.loop.call_soon(self.process_buffer)
 
     def close_lingering(self, reason: CloseReason = CloseReason.LAST_RESPONSE) -> None:
         super().close_lingering(reason)
--- /dev/null
+++ b/flintlatch/net/connections.py
@@ -0,0 +1,217 @@
+"""The client connections of a front end by state, with their time limits and the choice of one to evict.
+
+Every open connection is in exactly one state, and every state has its own end:
+
+| state     | ended by                                                      | may be evicted               |
+| --------- | ------------------------------------------------------------- | ---------------------------- |
+| READING   | a complete request, REQUEST_READ_TIMEOUT_S                    | after EVICTION_GRACE_MS      |
+| IDLE      | the next request, the idle timeout                            | yes                          |
+| SERVING   | the last response (its deadline, the limits of its transfer)  | no                           |
+| FINISHING | as SERVING                                                    | no                           |
+| LINGERING | the peer's close, LINGER_TIMEOUT_S after it has everything    | once the peer has everything |
+| CLOSED    | the event loop, in its next turn                              | no                           |
+
+A connection whose peer takes no byte of what is written to it ends after OUTPUT_STALL_TIMEOUT_S in any state.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable, Iterator
+from enum import Enum
+from typing import Generic, Protocol, TypeVar
+
+from flintlatch.net.clock import now_ms
+from flintlatch.net.counts import CloseReason
+from flintlatch.net.http1 import has_unread_data, unsent_bytes
+
+# For a head, from connecting or from its first byte. A well-behaved client may take 2 s, and an incomplete
+# request must be ended after 3 s. A body may take longer as long as bytes arrive.
+REQUEST_READ_TIMEOUT_S = 2.5
+CROWDED_IDLE_TIMEOUT_S = 2.0  # between two requests, while over half of the connection limit is in use
+EVICTION_GRACE_MS = 250.0  # for a new connection at the limit, whose first request is on the way
+LINGER_TIMEOUT_S = 1.0  # for the peer to close once it has the last response; then the connection is aborted
+OUTPUT_STALL_TIMEOUT_S = 15.0  # for the peer to take a byte of what is written to it
+
+
+class ConnectionState(Enum):
+    READING = "reading"  # new, or a request has begun to arrive and is not complete
+    IDLE = "idle"  # kept open between two requests
+    SERVING = "serving"  # a request is handled, or waits for the one before it
+    FINISHING = "finishing"  # as SERVING, but no further request is read, and the last response closes
+    LINGERING = "lingering"  # the last response is written; the peer has to receive it and to close
+    CLOSED = "closed"
+
+    @property
+    def reads_requests(self) -> bool:
+        return self in (ConnectionState.READING, ConnectionState.IDLE, ConnectionState.SERVING)
+
+
+TRANSITIONS: dict[ConnectionState, frozenset[ConnectionState]] = {
+    ConnectionState.READING: frozenset(ConnectionState),
+    ConnectionState.IDLE: frozenset(ConnectionState),
+    ConnectionState.SERVING: frozenset(ConnectionState),
+    ConnectionState.FINISHING: frozenset((ConnectionState.LINGERING, ConnectionState.CLOSED)),
+    ConnectionState.LINGERING: frozenset((ConnectionState.CLOSED,)),
+    ConnectionState.CLOSED: frozenset(),
+}
+
+
+class InvalidTransition(Exception):
+    """A connection was to enter a state that can't follow its present one."""
+
+
+class OutputProgress:
+    """Since when the peer has taken nothing of the bytes that are written to it."""
+
+    def __init__(self, unsent: int) -> None:
+        self.unsent, self.since_ms = unsent, now_ms()
+
+    def stalled_s(self, unsent: int) -> float:
+        """Seconds without progress, if `unsent` bytes are left now."""
+        if unsent != self.unsent:
+            self.unsent, self.since_ms = unsent, now_ms()
+        return (now_ms() - self.since_ms) / 1000
+
+
+class ManagedConnection(Protocol):
+    """What the groups have to know of a client connection."""
+
+    transport: asyncio.Transport
+    state: ConnectionState
+    reading_since_ms: float  # since when the client could have sent the rest of an incomplete request
+    progress: OutputProgress | None  # set while the peer has to take bytes
+
+    def on_read_timeout(self) -> None: ...
+    def close_when_idle(self) -> None: ...
+    def abort_for(self, reason: CloseReason) -> None: ...
+    def gone(self) -> bool: ...
+    def waits_for_reader(self) -> bool: ...
+
+
+ConnectionT = TypeVar("ConnectionT", bound=ManagedConnection)
+
+
+class ClientConnections(Generic[ConnectionT]):
+    """All open client connections of a front end, grouped by state. Iterates over all of them."""
+
+    def __init__(self) -> None:
+        # With the time at which each connection entered its state; the oldest entry is first.
+        self._groups: dict[ConnectionState, dict[ConnectionT, float]] = {
+            state: {} for state in ConnectionState
+        }
+        self.paused: set[ConnectionT] = set()  # not read, so their end has to be asked for
+
+    def __iter__(self) -> Iterator[ConnectionT]:
+        for group in list(self._groups.values()):
+            yield from list(group)
+
+    def __len__(self) -> int:
+        return sum(map(len, self._groups.values()))
+
+    def members(self, state: ConnectionState) -> list[ConnectionT]:
+        """The connections in `state`, the one that has been in it for longest first."""
+        return list(self._groups[state])
+
+    def since_ms(self, connection: ConnectionT) -> float:
+        """When the connection entered its state."""
+        return self._groups[connection.state][connection]
+
+    def add(self, connection: ConnectionT) -> None:
+        """Adds a new connection, in the state READING."""
+        connection.state, connection.reading_since_ms = ConnectionState.READING, now_ms()
+        self._groups[connection.state][connection] = now_ms()
+
+    def move(self, connection: ConnectionT, state: ConnectionState) -> None:
+        """Moves a connection to another state. An idle one starts its time anew, since it was used.
+
+        Raises InvalidTransition."""
+        previous = connection.state
+        if state is previous and state is not ConnectionState.IDLE:
+            return
+        if state not in TRANSITIONS[previous]:
+            raise InvalidTransition(f"{state} after {previous}")
+        if self._groups[previous].pop(connection, None) is None:
+            return  # lost: it is in no group any more
+        connection.state = state
+        self._groups[state][connection] = now_ms()
+
+    def discard(self, connection: ConnectionT) -> None:
+        """Removes a connection that is lost."""
+        self._groups[connection.state].pop(connection, None)
+        connection.state = ConnectionState.CLOSED
+        self.paused.discard(connection)
+
+    def eviction_candidate(self) -> ConnectionT | None:
+        """The connection to evict for a new one: one in lingering close, then one past the idle timeout under
+        load, then one that has not sent a request, and only then one that was recently active."""
+        now = now_ms()
+        for state, grace_ms in (
+            (ConnectionState.LINGERING, EVICTION_GRACE_MS),
+            (ConnectionState.IDLE, CROWDED_IDLE_TIMEOUT_S * 1000),
+            (ConnectionState.READING, EVICTION_GRACE_MS),
+            (ConnectionState.IDLE, 0.0),
+        ):
+            for connection, since_ms in self._groups[state].items():
+                if since_ms > now - grace_ms:
+                    break
+                if may_be_evicted(connection):
+                    return connection
+        return None
+
+    def sweep(self, idle_timeout_s: float) -> None:
+        """Ends the connections that are past a time limit, so that no peer can hold one forever."""
+        now = now_ms()
+        for connection in self.members(ConnectionState.READING):
+            if connection.reading_since_ms <= now - REQUEST_READ_TIMEOUT_S * 1000:
+                connection.on_read_timeout()
+        for connection in self._idle_since(now - idle_timeout_s * 1000):
+            connection.close_when_idle()
+        for connection in self.members(ConnectionState.LINGERING):
+            end_lingering(connection)
+        for state in (ConnectionState.SERVING, ConnectionState.FINISHING):
+            end_stalled(self._groups[state])
+        for connection in list(self.paused):
+            connection.gone()
+
+    def _idle_since(self, oldest_ms: float) -> list[ConnectionT]:
+        overdue = []
+        for connection, since_ms in self._groups[ConnectionState.IDLE].items():
+            if since_ms > oldest_ms:
+                break
+            overdue.append(connection)
+        return overdue
+
+
+def may_be_evicted(connection: ManagedConnection) -> bool:
+    """Whether nothing is lost with the connection: unread bytes in the kernel are a request that was sent in
+    time, and unsent ones are a response."""
+    if connection.state is not ConnectionState.LINGERING and has_unread_data(connection.transport):
+        return False
+    return not unsent_bytes(connection.transport)
+
+
+def end_lingering(connection: ManagedConnection) -> None:
+    """Aborts a connection whose peer has everything and does not close, or takes nothing for too long."""
+    unsent = unsent_bytes(connection.transport)
+    if connection.progress is None:
+        connection.progress = OutputProgress(unsent)
+    stalled_s = connection.progress.stalled_s(unsent)
+    if not unsent and stalled_s >= LINGER_TIMEOUT_S:
+        connection.abort_for(CloseReason.LINGER_TIMEOUT)
+    elif stalled_s >= OUTPUT_STALL_TIMEOUT_S:
+        connection.abort_for(CloseReason.UNREAD_RESPONSES)
+
+
+def end_stalled(connections: Iterable[ManagedConnection]) -> None:
+    """Aborts the connections whose next request waits for a peer that takes nothing of the responses before
+    it."""
+    for connection in list(connections):
+        if not connection.waits_for_reader():
+            connection.progress = None
+            continue
+        unsent = unsent_bytes(connection.transport)
+        if connection.progress is None:
+            connection.progress = OutputProgress(unsent)
+        elif connection.progress.stalled_s(unsent) >= OUTPUT_STALL_TIMEOUT_S:
+            connection.abort_for(CloseReason.UNREAD_RESPONSES)
--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from flintlatch.net.polling import has_event
+from flintlatch.net.polling import has_event, unacknowledged_bytes
 
 MAX_BODY = 64 * 1024  # bytes
 MAX_HEAD = 16 * 1024  # bytes
@@ -52,6 +52,15 @@
     return transport.is_closing() or has_poll_event(transport, select.POLLRDHUP)
 
 
+def unsent_bytes(transport: asyncio.Transport) -> int:
+    """Bytes written to this connection that the peer's machine does not have yet, in the process and in the
+    kernel. Of a transport that is closing only the process's are known."""
+    in_process = transport.get_write_buffer_size()
+    if transport.is_closing():
+        return in_process
+    return in_process + unacknowledged_bytes(transport.get_extra_info("socket").fileno())
+
+
 def ms_since_last_data(transport: asyncio.Transport) -> float:
     """Milliseconds since the kernel received the last bytes on this connection, tcp(7); infinite if the
     kernel does not tell."""
--- a/flintlatch/ops/admin.py
+++ b/flintlatch/ops/admin.py
@@ -9,7 +9,8 @@
 
 import httptools
 
-from flintlatch.net.frontend import REASON_PHRASES, open_listener
+from flintlatch.net.client import REASON_PHRASES
+from flintlatch.net.listener import open_listener
 from flintlatch.net.transient import retry_transient
 from flintlatch.ops.calls import Call, CallError, read_call
 
--- a/flintlatch/platform/front.py
+++ b/flintlatch/platform/front.py
@@ -8,10 +8,12 @@
 from dataclasses import dataclass
 
 from flintlatch.exchange import BodyTooLarge, Exchange, Fields, Piece, ProxyResponse, Response, RoutingInfo
+from flintlatch.net.client import READY_PATH, REASON_PHRASES, Client
 from flintlatch.net.clock import now_ms
+from flintlatch.net.connections import ConnectionState
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Answer
-from flintlatch.net.frontend import READY_PATH, REASON_PHRASES, Client, Frontend
+from flintlatch.net.frontend import Frontend
 from flintlatch.net.http1 import MAX_BODY, MAX_HEAD
 from flintlatch.net.request import Message, Reader, RequestError, check_framing
 from flintlatch.platform.engine import ForwardedRequest, PlatformEngine
@@ -58,12 +60,14 @@
             exchange.client_left(now_ms() / 1000)
 
     def pause_writing(self) -> None:
+        super().pause_writing()
         if self.exchange is not None:
             self.exchange.set_client_blocked(True)
 
     def resume_writing(self) -> None:
         if self.exchange is not None:
             self.exchange.set_client_blocked(False)
+        super().resume_writing()
 
     # Reading requests
 
@@ -139,7 +143,9 @@
         """Offers a long request to the decision module while its body arrives, once earlier requests are
         answered."""
         incoming = self.incoming
-        if incoming is None or incoming.exchange is not None or self.closing or self.request_id or self.queue:
+        if incoming is None or incoming.exchange is not None or self.closing:
+            return
+        if self.queue or not self.may_start_request():
             return
         if not incoming.is_long(len(self._body)):
             return
@@ -204,7 +210,8 @@
         if exchange is None or self.closing:
             super()._reject(status)
             return
-        self.closing, self.unparsed, self.keep_alive = True, b"", False
+        self.connections.move(self, ConnectionState.FINISHING)
+        self.unparsed, self.keep_alive = b"", False
         exchange.reject_request(now_ms() / 1000, status)
 
     # `ClientSide` of an exchange
@@ -259,7 +266,7 @@
         self._process_next()
 
     def reset(self) -> None:
-        self.transport.abort()
+        self.abort()
 
     def unsent_bytes(self) -> int:
         return self.transport.get_write_buffer_size()
@@ -273,11 +280,6 @@
         else:
             self._process_next()
 
-    def _process_next(self) -> None:
-        """Continues with the requests queued behind the one just answered."""
-        if not self.transport.is_closing() and not self.closing:
-            self._process()
-
     def close_lingering(self, reason: CloseReason = CloseReason.LAST_RESPONSE) -> None:
         self.incoming = None
         super().close_lingering(reason)
--- a/flintlatch/platform/limits.py
+++ b/flintlatch/platform/limits.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from flintlatch.exchange import ExchangeLimits, ProgressLimits
-from flintlatch.net.frontend import PARSE_CHUNK_BYTES
+from flintlatch.net.client import PARSE_CHUNK_BYTES
+from flintlatch.net.connections import OUTPUT_STALL_TIMEOUT_S
 from flintlatch.net.http1 import MAX_BODY
 
 # Between 32 MB, the largest valid body, and 60 MB, which is certainly invalid.
@@ -15,7 +16,7 @@
 CLIENT_SEND_BUFFER_BYTES = 128 * 1024  # SO_SNDBUF of a client that is sent a long response; doubled too
 CLIENT_WRITE_BUFFER_BYTES = 64 * 1024  # in the process, above which reading from the server is paused
 UPLOAD_PARSE_BYTES = 64 * 1024  # parsed at once of an upload; PARSE_CHUNK_BYTES applies before it starts
-TRANSFER_IDLE_TIMEOUT_S = 15.0  # without a byte from the side that has to send
+TRANSFER_IDLE_TIMEOUT_S = OUTPUT_STALL_TIMEOUT_S  # without a byte from the side that has to send
 UPLOAD_TIMEOUT_MS = 600_000.0  # 32 MB at 64 kB/s take 500 s, and the rest is a margin
 UPLOAD_MEMORY_FRACTION = 0.3  # of the memory limit, for the bodies of uploads
 GATHER_TIMEOUT_S = 0.05  # for the end of a response without a length: most are short and arrive at once
--- a/tests/fleet/test_daemon.py
+++ b/tests/fleet/test_daemon.py
@@ -13,7 +13,7 @@
 
 from flintlatch.fleet.control import send_control_request
 from flintlatch.net.clock import now_ms
-from flintlatch.net.frontend import REQUEST_READ_TIMEOUT_S
+from flintlatch.net.connections import REQUEST_READ_TIMEOUT_S
 from flintlatch.standin.client import Prober
 from flintlatch.standin.node import Shape
 from flintlatch.standin.process import FleetProcess, alive, remote_ports
--- a/tests/platform/test_long.py
+++ b/tests/platform/test_long.py
@@ -13,6 +13,8 @@
 import pytest
 from aiohttp import web
 
+from flintlatch.net import client as client_module
+from flintlatch.net import connections as connections_module
 from flintlatch.net import frontend as frontend_module
 from flintlatch.net.http1 import MAX_BODY
 from flintlatch.platform import limits
@@ -336,8 +338,8 @@
 def test_a_moving_short_body_has_no_timeout_and_a_head_has_one(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(frontend_module, "REQUEST_READ_TIMEOUT_S", 0.1)
-    monkeypatch.setattr(frontend_module, "BODY_IDLE_TIMEOUT_S", 0.4)
+    monkeypatch.setattr(connections_module, "REQUEST_READ_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(client_module, "BODY_IDLE_TIMEOUT_S", 0.4)
     monkeypatch.setattr(frontend_module, "SWEEP_INTERVAL_S", 0.02)
 
     async def test() -> None:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -11,7 +11,8 @@
 import pytest
 
 from flintlatch.net import frontend as frontend_module
-from flintlatch.net.frontend import Client as AcceptedClient
+from flintlatch.net.client import Client as AcceptedClient
+from flintlatch.net.connections import ConnectionState
 from tests.loopback import Proxy, proxy, run
 from tests.test_leaving import request_head, until, until_settled
 
@@ -60,7 +61,7 @@
                 if keep_alive:
                     sock.sendall(request_head("before"))
                     (await p.backends[0].requests.get()).reply(b"first")
-                    await until(lambda: client in p.frontend.idle_clients)
+                    await until(lambda: client.state is ConnectionState.IDLE)
                     sock.sendall(request_head("crossing"))
                     client.close_when_idle()
                 else:
@@ -82,7 +83,7 @@
                 client = await accepted_client(p)
                 sock.sendall(request_head("before"))
                 (await p.backends[0].requests.get()).reply(b"first")
-                await until(lambda: client in p.frontend.idle_clients)
+                await until(lambda: client.state is ConnectionState.IDLE)
                 client.close_when_idle()
                 sock.sendall(request_head("crossing"))
                 assert (await read_to_end(sock)).endswith(b"first")  # the response is not lost in a reset
@@ -152,7 +153,7 @@
                 sock.shutdown(socket.SHUT_WR)
                 await until(lambda: client.transport.is_closing())
                 client.close_when_idle()
-                assert client not in p.frontend.lingering_clients
+                assert client.state is not ConnectionState.LINGERING
                 await p.frontend.finish(5.0)
                 assert not p.frontend.clients
 
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -7,8 +7,10 @@
 
 import pytest
 
+from flintlatch.net import client as client_module
+from flintlatch.net import connections as connections_module
 from flintlatch.net import engine as engine_module
-from flintlatch.net import frontend as frontend_module
+from flintlatch.net.connections import ConnectionState
 from tests.loopback import Client, proxy, run
 
 
@@ -246,7 +248,7 @@
 def test_a_client_gets_its_response_while_it_still_sends_a_rejected_body(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(frontend_module, "LINGER_TIMEOUT_S", 30.0)
+    monkeypatch.setattr(connections_module, "LINGER_TIMEOUT_S", 30.0)
 
     def send_large_body(address: str) -> bytes:
         host, port = address.split(":")
@@ -299,7 +301,7 @@
 
 def test_an_incomplete_request_is_closed_at_its_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
     # Covers a silent client, an incomplete head, and an incomplete body on a kept connection.
-    monkeypatch.setattr(frontend_module, "REQUEST_READ_TIMEOUT_S", 0.02)
+    monkeypatch.setattr(connections_module, "REQUEST_READ_TIMEOUT_S", 0.02)
 
     async def test() -> None:
         async with proxy() as p:
@@ -323,11 +325,12 @@
             client = await p.client()
             for byte in (b"G", b"E", b"T"):
                 client.writer.write(byte)
-                while not p.frontend.reading_clients:
+                while not p.frontend.clients.members(ConnectionState.READING):
                     await asyncio.sleep(0.001)
-                since = next(iter(p.frontend.reading_clients.values()))
+                (accepted,) = p.frontend.clients
+                since = accepted.reading_since_ms
                 await asyncio.sleep(0.01)
-                assert next(iter(p.frontend.reading_clients.values())) == since
+                assert accepted.state is ConnectionState.READING and accepted.reading_since_ms == since
 
     run(test())
 
@@ -335,14 +338,14 @@
 def test_at_the_limit_a_silent_connection_is_evicted_before_a_used_one(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(frontend_module, "EVICTION_GRACE_MS", 0.0)
+    monkeypatch.setattr(connections_module, "EVICTION_GRACE_MS", 0.0)
 
     async def test() -> None:
         async with proxy() as p:
             p.frontend.max_connections = 2
             used, silent = await p.client(), await p.client()
             assert (await used.ask("/health/ready", "GET")).status == 200
-            while len(p.frontend.reading_clients) != 1:
+            while len(p.frontend.clients.members(ConnectionState.READING)) != 1:
                 await asyncio.sleep(0.001)
             third = await p.client()
             assert (await third.ask("/health/ready", "GET")).status == 200
@@ -353,7 +356,7 @@
 
 
 def test_idle_connections_are_closed_before_the_limit_is_reached(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(frontend_module, "CROWDED_IDLE_TIMEOUT_S", 0.02)
+    monkeypatch.setattr(connections_module, "CROWDED_IDLE_TIMEOUT_S", 0.02)
 
     async def test() -> None:
         async with proxy() as p:
@@ -402,7 +405,7 @@
             client = await p.client()
             for _ in range(500):
                 client.send("/unknown")
-            statuses = [(await client.reply()).status for _ in range(frontend_module.MAX_CONSECUTIVE_ERRORS)]
+            statuses = [(await client.reply()).status for _ in range(client_module.MAX_CONSECUTIVE_ERRORS)]
             assert set(statuses) == {404}
             assert await client.ended()
 
@@ -427,8 +430,8 @@
 
 def test_bytes_after_the_last_response_are_read_up_to_a_limit(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards against 60 MB sent at full speed that delay the other clients.
-    monkeypatch.setattr(frontend_module, "LINGER_TIMEOUT_S", 1000.0)
-    monkeypatch.setattr(frontend_module, "MAX_LINGER_BYTES", 100_000)
+    monkeypatch.setattr(connections_module, "LINGER_TIMEOUT_S", 1000.0)
+    monkeypatch.setattr(client_module, "MAX_DISCARDED_BYTES", 100_000)
 
     async def test() -> None:
         async with proxy() as p:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -15,7 +15,7 @@
 from flintlatch.net import backends as backends_module
 from flintlatch.net import frontend as frontend_module
 from flintlatch.net.backends import Backends, Connection
-from flintlatch.net.frontend import Client as AcceptedClient
+from flintlatch.net.client import Client as AcceptedClient
 from flintlatch.net.http1 import peer_closed
 from tests.loopback import Client, Proxy, proxy, run
 
@@ -46,8 +46,8 @@
     """Sends so many requests behind the first one that reading from the client is paused."""
     for number in range(6):
         client.writer.write(request_head(f"behind-{number}", pad=3000))
-    await until(lambda: p.frontend.paused_clients)
-    (accepted,) = p.frontend.paused_clients
+    await until(lambda: p.frontend.clients.paused)
+    (accepted,) = p.frontend.clients.paused
     return accepted
 
 
--- a/tests/test_waiting_connections.py
+++ b/tests/test_waiting_connections.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from flintlatch.net import frontend as frontend_module
+from flintlatch.net import connections as connections_module
 from tests.loopback import proxy, run
 
 WAIT_S = 0.6
@@ -18,7 +18,7 @@
 def test_a_server_is_told_no_more_time_than_is_left_after_the_wait_to_be_accepted(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(frontend_module, "EVICTION_GRACE_MS", WAIT_S * 1000)
+    monkeypatch.setattr(connections_module, "EVICTION_GRACE_MS", WAIT_S * 1000)
 
     async def test() -> None:
         async with proxy() as p:
@@ -43,7 +43,7 @@
 def test_a_request_whose_time_is_over_when_its_connection_is_accepted_is_not_forwarded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(frontend_module, "EVICTION_GRACE_MS", WAIT_S * 1000)
+    monkeypatch.setattr(connections_module, "EVICTION_GRACE_MS", WAIT_S * 1000)
 
     async def test() -> None:
         async with proxy() as p:
