Keep an upload's body for its second attempt, and give each error an outcome

Cause: after an attempt has ended, what it had taken still counted as taken. While a second connection came up, more of the body arrived, and the buffer discarded the first part for it. The attempt began all the same, since nobody asked again; `Upload.rewind` raised inside `connection_made`, and the event loop only logs that.

Related: an upload whose end is in the kernel and can't be read for lack of room had its deadline only from the moment it was read, or after 15 s (`Exchange.has_unread_end`, FIONREAD; not for chunked bodies).

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -21,6 +21,7 @@
 from flintlatch.api import ListKind, Settings
 from flintlatch.net.backends import split_descriptors
 from flintlatch.net.discovery import Discovery
+from flintlatch.net.guard import bugs
 from flintlatch.net.http1 import split_address
 from flintlatch.net.listener import open_listener
 from flintlatch.net.listing import Listing, read_listing
@@ -135,7 +136,7 @@
     loop = asyncio.get_running_loop()
     # An exception in the code of one connection ends that connection, not the process.
     loop.set_exception_handler(
-        lambda _, context: log(f"bug: {context.get('message')}: {context.get('exception')!r}")
+        lambda _, context: bugs.report(str(context.get("message")), context.get("exception"))
     )
     stop = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/flintlatch/exchange/core.py
+++ b/flintlatch/exchange/core.py
@@ -132,6 +132,13 @@
         else:
             self.owner.on_body_received(self)
 
+    def has_unread_end(self, unread_bytes: int) -> bool:
+        """Whether the request is known to have arrived whole although its end can't be read, because there is
+        no room for it. `unread_bytes`: of its body, beside what was passed to `receive_body`."""
+        if self.has_ended or self.upload.complete or self.request.length is None or self.upload.room > 0:
+            return False
+        return self.upload.total_bytes + unread_bytes >= self.request.length
+
     def offer(self, now_s: float) -> None:
         """Offers the request to the decision module without waiting for the rest of it."""
         if self.phase is Phase.GATHERING:
@@ -217,6 +224,8 @@
             self._end(now_s, Ending.NODE_BROKE)
             return
         self.node = None
+        if not self.upload.discarded:
+            self.upload.rewind()  # the next attempt needs what this one has taken
         self._update_waiting_sides(now_s)
 
     # Called by the owner
--- a/flintlatch/http/front.py
+++ b/flintlatch/http/front.py
@@ -24,6 +24,7 @@
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Answer
 from flintlatch.net.frontend import Frontend
+from flintlatch.net.http1 import unread_bytes
 from flintlatch.net.relay import Refusal, RelayEngine
 
 if TYPE_CHECKING:
@@ -249,6 +250,12 @@
             if exchange.phase is Phase.GATHERING:
                 front.engine.start_gather_timer(exchange)
 
+    def on_callback_error(self) -> None:
+        if self.closing or self.transport.is_closing():
+            self.abort()
+        else:
+            self._reject_with(HttpError(500, "an unexpected error"))
+
     def _reject_with(self, error: HttpError) -> None:
         """Answers with an error and closes the connection, because the rest of its input can't be parsed or
         will not be read."""
@@ -323,6 +330,9 @@
     def unsent_bytes(self) -> int:
         return self.transport.get_write_buffer_size()
 
+    def unread_body_bytes(self) -> int:
+        return len(self.buffer) + unread_bytes(self.transport)
+
     # Writing responses
 
     def write(self, answer: Answer) -> None:
--- a/flintlatch/http/node.py
+++ b/flintlatch/http/node.py
@@ -68,24 +68,24 @@
         limit_socket_buffers(transport, False)
         self.on_connected()
 
+    def assign(self, attempt: Attempt) -> None:
+        super().assign(attempt)
+        self.any_bytes_written = False
+
     def send_attempt(self, attempt: Attempt) -> None:
         assert self.transport is not None
-        self.attempt, attempt.connection = attempt, self
         relayed = cast(RelayAttempt, attempt)
         relayed.node = self
         exchange = relayed.exchange
         self.head_buffer.clear()
         self.response = self.body = None
         self.interim_count, self.sent_ms = 0, now_ms()
-        self.request_sent, self.any_bytes_written, self.awaiting_response, self.reading_paused = (
-            False,
-            True,
-            True,
-            False,
-        )
+        self.request_sent = self.reading_paused = False
+        self.awaiting_response = True
         exchange.attach(self.sent_ms / 1000, self)
         budget = max(1, int(attempt.deadline_ms - self.sent_ms))
         head = request_head(exchange.request, exchange.routing.id)
+        self.any_bytes_written = True
         self.transport.write(b"%bx-budget-ms: %d\r\n\r\n" % (head, budget))
         self.send_upload()
 
--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -9,6 +9,7 @@
 
 from flintlatch.api import Result, ServerState
 from flintlatch.net.clock import now_ms
+from flintlatch.net.guard import CallbackGuard, bugs
 from flintlatch.net.http1 import Http1Connection, Response, has_unread_data
 from flintlatch.net.listing import Target
 
@@ -62,8 +63,8 @@
         self.ended_ms = 0.0
 
     def still_wanted(self) -> bool:
-        """Whether the client still waits. If not, this call has ended the attempt, and it must not be
-        written."""
+        """Whether the attempt may be written now: asked right before, since time has passed since it was
+        decided on. If not, this call has ended it."""
         return True
 
     def end(self, result: Result, response: Response | None = None) -> None:
@@ -115,24 +116,27 @@
         self.on_connected()
 
     def on_connected(self) -> None:
-        """Sends the attempt that this connection was opened for, unless its client has left or its write
-        limit has passed."""
+        """Sends the attempt that this connection was opened for, unless it is not wanted any more or its
+        write limit has passed."""
         self.backend.connecting.discard(self)
         attempt = self.attempt
         if attempt is None:
             self.close()
             return
-        self.attempt = attempt.connection = None
         if now_ms() > attempt.write_by_ms:
-            self.pool.release_connection(self)
             attempt.end(Result.NOT_SENT)  # not a failure: that would eject a healthy server
-        elif attempt.still_wanted():
+        if not attempt.ended and attempt.still_wanted():
             self.send_attempt(attempt)
         else:
             self.pool.release_connection(self)  # usable by another attempt
 
-    def send_attempt(self, attempt: Attempt) -> None:
+    def assign(self, attempt: Attempt) -> None:
+        """Reserves the connection for an attempt, of which nothing is written yet."""
         self.attempt, attempt.connection = attempt, self
+        self.write_incomplete = True
+
+    def send_attempt(self, attempt: Attempt) -> None:
+        """Writes the request of the attempt that the connection is assigned to."""
         budget = max(1, int(attempt.deadline_ms - now_ms()))
         self.send_request(b"%bx-budget-ms: %d\r\n\r\n%b" % (attempt.head, budget, attempt.body))
 
@@ -242,13 +246,14 @@
         attempt.timer = self.loop.call_later(seconds, self._on_timeout, attempt)
         reused = self._reuse_idle(backend)
         if reused is not None:
+            reused.assign(attempt)
             reused.send_attempt(attempt)
             return
         if not self._make_room():
             attempt.end(Result.NO_ROOM)
             return
         connection = self.connection_factory(self, backend)
-        connection.attempt, attempt.connection = attempt, connection
+        connection.assign(attempt)
         self.connections.add(connection)
         backend.connecting.add(connection)
         connection.connect_task = self.loop.create_task(self._open(connection))
@@ -273,7 +278,7 @@
         try:
             async with asyncio.timeout(self.connect_timeout_s):
                 await self.loop.create_connection(
-                    lambda: connection, target.host, target.port, local_addr=self.local_address
+                    lambda: CallbackGuard(connection), target.host, target.port, local_addr=self.local_address
                 )
         except OSError as error:  # refused, unreachable, no descriptor left, or timed out
             # The timeout may fire just as the connection is established. The request has been written then,
@@ -281,6 +286,9 @@
             if connection.attempt is not None and connection.transport is None:
                 local_shortage = error.errno in LOCAL_SHORTAGE_ERRNOS
                 connection.attempt.end(Result.NO_ROOM if local_shortage else Result.CONNECT_FAILED)
+        except Exception as error:
+            bugs.report("opening a connection to a backend", error)
+            connection.on_callback_error()
         finally:
             connection.backend.connecting.discard(connection)
             if connection.transport is None:
@@ -289,6 +297,12 @@
     def cancel(self, attempt: Attempt) -> None:
         self._abort(attempt, Result.CANCELLED)
 
+    def fail(self, attempt: Attempt) -> None:
+        """Ends an attempt that an unexpected error has interrupted."""
+        connection = attempt.connection
+        never_ran = connection is None or connection.never_ran()
+        self._abort(attempt, Result.CONNECT_FAILED if never_ran else Result.RESET)
+
     def time_out(self, attempt: Attempt) -> None:
         """Ends an attempt whose node has stalled."""
         self._abort(attempt, Result.TIMEOUT)
--- a/flintlatch/net/client.py
+++ b/flintlatch/net/client.py
@@ -13,6 +13,7 @@
 from flintlatch.net.connections import ClientConnections, ConnectionState, OutputProgress
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Answer, Engine
+from flintlatch.net.guard import bugs
 from flintlatch.net.http1 import (
     MAX_BODY,
     MAX_HEAD,
@@ -113,6 +114,16 @@
         self.connections.move(self, ConnectionState.CLOSED)
         self.transport.abort()
 
+    def on_callback_error(self) -> None:
+        """Answers what is open, as for bytes that can't be read, with 500 behind it."""
+        if self.transport.is_closing():
+            self.abort()
+        elif self.state.reads_requests:
+            self._reject(500)
+            self._process_next()
+        elif self.state is not ConnectionState.FINISHING:
+            self.abort()
+
     def abort_for(self, reason: CloseReason) -> None:
         self.frontend.engine.counts.add(reason)
         self.abort()
@@ -236,6 +247,9 @@
         before = len(self.queue)
         try:
             self.parser.feed_data(chunk)
+        except httptools.HttpParserCallbackError as error:
+            bugs.report("parsing a request", error.__context__)
+            self._reject(500)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             # Bytes directly after a request that are no valid request put the length of that request in
             # doubt.
--- a/flintlatch/net/connections.py
+++ b/flintlatch/net/connections.py
@@ -17,12 +17,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterator
 from enum import Enum
 from typing import Generic, Protocol, TypeVar
 
 from flintlatch.net.clock import now_ms
 from flintlatch.net.counts import CloseReason
+from flintlatch.net.guard import bugs
 from flintlatch.net.http1 import has_unread_data, unsent_bytes
 
 # For a head, from connecting or from its first byte. A well-behaved client may take 2 s, and an incomplete
@@ -162,17 +163,26 @@
     def sweep(self, idle_timeout_s: float) -> None:
         """Ends the connections that are past a time limit, so that no peer can hold one forever."""
         now = now_ms()
-        for connection in self.members(ConnectionState.READING):
-            if connection.reading_since_ms <= now - REQUEST_READ_TIMEOUT_S * 1000:
-                connection.on_read_timeout()
-        for connection in self._idle_since(now - idle_timeout_s * 1000):
-            connection.close_when_idle()
-        for connection in self.members(ConnectionState.LINGERING):
-            end_lingering(connection)
-        for state in (ConnectionState.SERVING, ConnectionState.FINISHING):
-            end_stalled(self._groups[state])
-        for connection in list(self.paused):
-            connection.gone()
+        reading = self.members(ConnectionState.READING)
+        latest_ms = now - REQUEST_READ_TIMEOUT_S * 1000
+        late = [connection for connection in reading if connection.reading_since_ms <= latest_ms]
+        self._check(late, lambda connection: connection.on_read_timeout())
+        idle = self._idle_since(now - idle_timeout_s * 1000)
+        self._check(idle, lambda connection: connection.close_when_idle())
+        self._check(self.members(ConnectionState.LINGERING), end_lingering)
+        self._check(self.members(ConnectionState.SERVING), end_stalled)
+        self._check(self.members(ConnectionState.FINISHING), end_stalled)
+        self._check(list(self.paused), lambda connection: connection.gone())
+
+    @staticmethod
+    def _check(connections: list[ConnectionT], check: Callable[[ConnectionT], object]) -> None:
+        """An unexpected error ends its connection, and not the checks of the others."""
+        for connection in connections:
+            try:
+                check(connection)
+            except Exception as error:
+                bugs.report("a time limit of a client connection", error)
+                connection.transport.abort()
 
     def _idle_since(self, oldest_ms: float) -> list[ConnectionT]:
         overdue = []
@@ -203,15 +213,14 @@
         connection.abort_for(CloseReason.UNREAD_RESPONSES)
 
 
-def end_stalled(connections: Iterable[ManagedConnection]) -> None:
-    """Aborts the connections whose next request waits for a peer that takes nothing of the responses before
+def end_stalled(connection: ManagedConnection) -> None:
+    """Aborts a connection whose next request waits for a peer that takes nothing of the responses before
     it."""
-    for connection in list(connections):
-        if not connection.waits_for_reader():
-            connection.progress = None
-            continue
-        unsent = unsent_bytes(connection.transport)
-        if connection.progress is None:
-            connection.progress = OutputProgress(unsent)
-        elif connection.progress.stalled_s(unsent) >= OUTPUT_STALL_TIMEOUT_S:
-            connection.abort_for(CloseReason.UNREAD_RESPONSES)
+    if not connection.waits_for_reader():
+        connection.progress = None
+        return
+    unsent = unsent_bytes(connection.transport)
+    if connection.progress is None:
+        connection.progress = OutputProgress(unsent)
+    elif connection.progress.stalled_s(unsent) >= OUTPUT_STALL_TIMEOUT_S:
+        connection.abort_for(CloseReason.UNREAD_RESPONSES)
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -40,6 +40,7 @@
 from flintlatch.net.clock import WallClock, now_ms
 from flintlatch.net.counts import Counts, ListEvent, RetryEvent
 from flintlatch.net.discovery import Discovery
+from flintlatch.net.guard import bugs
 from flintlatch.net.http1 import Response
 from flintlatch.net.listing import Listing, Target
 from flintlatch.net.log import log, request_log
@@ -402,8 +403,9 @@
         for action in actions:
             try:
                 self._execute(action)
-            except Exception:  # the other actions, such as the next timer, must still run
-                log(f"bug: {action} was not carried out\n{traceback.format_exc()}")
+            except Exception as error:  # the other actions, such as the next timer, must still run
+                bugs.report(f"{action} was not carried out", error)
+                self._end_interrupted_attempt(action)
         for pending in finished:
             # Not earlier: in the step that reports the end, the decision module may have started another
             # attempt, and it must get an outcome for each attempt.
@@ -414,6 +416,12 @@
                 if self.request_observer is not None:
                     self.request_observer(pending)
 
+    def _end_interrupted_attempt(self, action: Action) -> None:
+        """Gives the attempt of an action that raised an outcome."""
+        pending = self.requests.get(action.request) if isinstance(action, Send) else None
+        if pending is not None and pending.attempts and not pending.attempts[-1].ended:
+            self.backends.fail(pending.attempts[-1])
+
     def _restart_decision_module(self) -> None:
         """Replaces a decision module that raised, because its state can't be trusted, and fails its
         requests."""
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -14,6 +14,7 @@
 from flintlatch.net.connections import ClientConnections, ConnectionState
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Engine
+from flintlatch.net.guard import CallbackGuard
 from flintlatch.net.listener import open_listener
 from flintlatch.net.log import log
 from flintlatch.net.request import Reader
@@ -158,7 +159,7 @@
             self.on_connection_count(self.connection_count)
         client = self.make_client()
         client.queued_since_ms = self.accept_delayed_since_ms
-        task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: client, sock))
+        task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: CallbackGuard(client), sock))
         self.opening_tasks.add(cast("asyncio.Task[object]", task))
         task.add_done_callback(self._on_opened)
         # The descriptor of an evicted client is freed only after this loop turn.
--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -12,7 +12,8 @@
 
 import httptools
 
-from flintlatch.net.polling import has_event, unacknowledged_bytes
+from flintlatch.net.guard import bugs
+from flintlatch.net.polling import has_event, readable_bytes, unacknowledged_bytes
 
 MAX_BODY = 64 * 1024  # bytes
 MAX_HEAD = 16 * 1024  # bytes
@@ -61,6 +62,13 @@
     return in_process + unacknowledged_bytes(transport.get_extra_info("socket").fileno())
 
 
+def unread_bytes(transport: asyncio.Transport) -> int:
+    """Bytes that the kernel has received on this connection and the loop has not read yet."""
+    if transport.is_closing():
+        return 0
+    return readable_bytes(transport.get_extra_info("socket").fileno())
+
+
 def ms_since_last_data(transport: asyncio.Transport) -> float:
     """Milliseconds since the kernel received the last bytes on this connection, tcp(7); infinite if the
     kernel does not tell."""
@@ -95,8 +103,8 @@
         self._parser: httptools.HttpResponseParser | None = None
         self.awaiting_response = False  # a request is sent and its response is not complete
         self.reusable = True  # for another exchange
-        # A part of the request is still in the write buffer, or its write has failed.
-        self.write_incomplete = False
+        # A part of the request is not written yet or is still in the write buffer, or its write has failed.
+        self.write_incomplete = True
 
     def on_response(self, response: Response) -> None:
         raise NotImplementedError
@@ -141,6 +149,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def on_callback_error(self) -> None:
+        """A callback has raised: the exchange in progress, if any, has failed."""
+        self.close()
+        self.on_broken()
+
     def _break(self) -> None:
         if self.reusable or self.awaiting_response:
             self.close()
@@ -155,6 +168,10 @@
         assert self._parser is not None
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            bugs.report("parsing a response", error.__context__)
+            self.on_callback_error()
+            return
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._keep_alive = False
             self._malformed = not self._complete
--- a/flintlatch/net/polling.py
+++ b/flintlatch/net/polling.py
@@ -6,7 +6,7 @@
 import select
 import struct
 
-SIOCOUTQ = 0x5411  # linux/sockios.h
+SIOCOUTQ, FIONREAD = 0x5411, 0x541B  # linux/sockios.h, asm-generic/ioctls.h
 INT = struct.Struct("=i")
 
 # A signal ends poll(2) with EINTR. Without a time to wait, Python then returns no event instead of asking
@@ -24,7 +24,16 @@
 def unacknowledged_bytes(descriptor: int) -> int:
     """Bytes written to a TCP connection that the peer's machine does not have yet, tcp(7); 0 if the kernel
     does not tell."""
+    return _ask_for_count(descriptor, SIOCOUTQ)
+
+
+def readable_bytes(descriptor: int) -> int:
+    """Bytes of a connection that can be read at once, tcp(7); 0 if the kernel does not tell."""
+    return _ask_for_count(descriptor, FIONREAD)
+
+
+def _ask_for_count(descriptor: int, request: int) -> int:
     try:
-        return int(INT.unpack(fcntl.ioctl(descriptor, SIOCOUTQ, bytes(INT.size)))[0])
+        return int(INT.unpack(fcntl.ioctl(descriptor, request, bytes(INT.size)))[0])
     except OSError:
         return 0
--- a/flintlatch/net/relay.py
+++ b/flintlatch/net/relay.py
@@ -34,6 +34,7 @@
 from flintlatch.net.backends import Attempt, Backend, Backends, Connection
 from flintlatch.net.clock import now_ms
 from flintlatch.net.engine import AcceptedRequest, Answer, Engine, PendingRequest
+from flintlatch.net.guard import bugs
 from flintlatch.net.http1 import Response as WholeResponse
 from flintlatch.net.log import log
 from flintlatch.settings import SocketSettings
@@ -74,8 +75,12 @@
         self.node: NodeSide | None = None  # the connection that carries it, or did
 
     def still_wanted(self) -> bool:
-        """As the base method. The loop may not have noticed yet that the client has left: a client that has
-        sent much is not read for a while, and its last bytes are read before the end of the connection."""
+        """As the base method: not for an exchange that has ended, nor one whose body is not complete any
+        more. The loop may not have noticed yet that the client has left: a client that has sent much is not
+        read for a while, and its last bytes are read before the end of the connection."""
+        if self.exchange.has_ended or self.exchange.upload.discarded:
+            self.end(Result.NOT_SENT)
+            return False
         if not self.exchange.client.gone():
             return True
         self.end(Result.NOT_SENT)
@@ -262,9 +267,24 @@
         self.stall_timer = self.loop.call_later(STALL_CHECK_INTERVAL_S, self._tick)
         now_s = now_ms() / 1000
         for exchange in list(self.exchanges.values()):
-            stall = exchange.tick(now_s)
-            if stall is not None:
-                log.event("transfer_stalled", id=exchange.routing.id, reason=stall.value)
+            try:
+                self._check_exchange(exchange, now_s)
+            except Exception as error:
+                bugs.report(f"the check of exchange {exchange.routing.id}", error)
+                exchange.client.reset()
+
+    def _check_exchange(self, exchange: Exchange, now_s: float) -> None:
+        if exchange.has_unread_end(exchange.client.unread_body_bytes()):
+            self._on_request_received(exchange)
+        stall = exchange.tick(now_s)
+        if stall is not None:
+            log.event("transfer_stalled", id=exchange.routing.id, reason=stall.value)
+
+    def _on_request_received(self, exchange: Exchange) -> None:
+        """The kernel has the rest of a request that can't be read yet: its client has begun to wait."""
+        pending = self.requests.get(exchange.routing.id)
+        if pending is not None and not pending.completed:
+            self._shorten_deadline(pending, exchange.routing.budget_ms)
 
     # Actions of the decision module
 
--- a/flintlatch/ops/admin.py
+++ b/flintlatch/ops/admin.py
@@ -10,6 +10,7 @@
 import httptools
 
 from flintlatch.net.client import REASON_PHRASES
+from flintlatch.net.guard import CallbackGuard
 from flintlatch.net.listener import open_listener
 from flintlatch.net.transient import retry_transient
 from flintlatch.ops.calls import Call, CallError, read_call
@@ -44,6 +45,9 @@
         self.admin.add_connection(self)
         self.timer = self.admin.loop.call_later(CALL_TIMEOUT_S, self.transport.abort)
 
+    def on_callback_error(self) -> None:
+        self.transport.abort()
+
     def connection_lost(self, exc: Exception | None) -> None:
         if self.timer is not None:
             self.timer.cancel()
@@ -104,7 +108,9 @@
     async def open(cls, address: str, actions: AdminActions) -> AdminServer:
         """Listens at `host:port`. Raises OSError if the address is not available."""
         admin = cls(actions, retry_transient(lambda: open_listener(address)))
-        admin.server = await admin.loop.create_server(lambda: AdminConnection(admin), sock=admin.listener)
+        admin.server = await admin.loop.create_server(
+            lambda: CallbackGuard(AdminConnection(admin)), sock=admin.listener
+        )
         return admin
 
     @property
--- a/flintlatch/ops/staff.py
+++ b/flintlatch/ops/staff.py
@@ -5,6 +5,7 @@
 from flintlatch.net.clock import now_ms
 from flintlatch.net.engine import Engine
 from flintlatch.net.frontend import Frontend
+from flintlatch.net.guard import bugs
 from flintlatch.net.log import log
 from flintlatch.ops.figures import Gauges, StatsdMetrics, outcome_of_status
 
@@ -33,7 +34,7 @@
         unavailable = min(engine.unavailable_servers(), members)
         age_ms = int(now_ms() - engine.list_updated_ms)
         gauges = Gauges(engine.open_requests(), members, unavailable, age_ms, engine.list_revision)
-        return self.metrics.lines(gauges, engine.counts.items())
+        return self.metrics.lines(gauges, [*engine.counts.items(), ("bugs", bugs.count)])
 
     def start_drain(self) -> None:
         if not self.frontend.drained_by_operator:
--- a/flintlatch/platform/front.py
+++ b/flintlatch/platform/front.py
@@ -14,7 +14,7 @@
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Answer
 from flintlatch.net.frontend import Frontend
-from flintlatch.net.http1 import MAX_BODY, MAX_HEAD
+from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, unread_bytes
 from flintlatch.net.request import Message, Reader, RequestError, check_framing
 from flintlatch.platform.engine import ForwardedRequest, PlatformEngine
 from flintlatch.platform.limits import (
@@ -271,6 +271,9 @@
     def unsent_bytes(self) -> int:
         return self.transport.get_write_buffer_size()
 
+    def unread_body_bytes(self) -> int:
+        return len(self.unparsed) + unread_bytes(self.transport)
+
     def _on_response_end(self) -> None:
         self.exchange = self.request_id = None
         self.response_sent = True
--- a/flintlatch/platform/node.py
+++ b/flintlatch/platform/node.py
@@ -55,7 +55,7 @@
             self.uploading = False
             super().send_attempt(attempt)
             return
-        self.attempt, attempt.connection, attempt.node = attempt, self, self
+        attempt.node = self
         exchange, now = attempt.exchange, now_ms()
         request = cast(ForwardedRequest, exchange.request)
         exchange.attach(now / 1000, self)
--- a/tests/exchange/test_core.py
+++ b/tests/exchange/test_core.py
@@ -66,6 +66,9 @@
     def unsent_bytes(self) -> int:
         return self.unsent
 
+    def unread_body_bytes(self) -> int:
+        return 0
+
 
 class Node:
     def __init__(self) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -14,6 +14,7 @@
 
 from flintlatch.__main__ import Config, start
 from flintlatch.net.frontend import Frontend
+from flintlatch.net.guard import bugs
 from flintlatch.platform import PlatformEngine
 
 TEST_TIMEOUT_S = 60.0  # far longer than any test needs: reached only by a test that hangs
@@ -23,8 +24,11 @@
 LOOKUP = {"Name": "lookup", "AimMs": 20000, "HardLimitMs": 30000, "Effect": "read_like", "Points": 12}
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
+def run(test: Coroutine[Any, Any, None], expected_bugs: int = 0) -> None:
+    """Runs a test. It fails if the program has logged an unexpected exception."""
+    count = bugs.count
     uvloop.run(asyncio.wait_for(test, TEST_TIMEOUT_S))
+    assert bugs.count - count == expected_bugs
 
 
 class Reply(NamedTuple):
@@ -182,6 +186,9 @@
         path = Path(folder) / "config.json"
         path.write_text(json.dumps(configuration(registry.address, *targets, **limits)))
         engine, frontend = start(Config({"LB_CONFIG": str(path)}))
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _, context: bugs.report(str(context.get("message")), context.get("exception"))
+    )
     try:
         yield Proxy(engine, frontend, servers, registry)
     finally:
--- /dev/null
+++ b/tests/test_late_connections.py
@@ -0,0 +1,175 @@
+"""Attempts whose connection comes up late: what was decided at their start may not hold any more."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import cast
+
+import pytest
+
+from flintlatch.api import ServerState
+from flintlatch.net.backends import Backends, Connection
+from flintlatch.net.http1 import unsent_bytes
+from flintlatch.net.listing import Listing
+from flintlatch.platform.node import PlatformConnection
+from tests.loopback import Client, Proxy, ReceivedRequest, proxy, run
+from tests.test_leaving import until
+
+SIZE = 250_000
+SMALL_BUFFER_BYTES = 4096
+FIRST_PART = 60_000  # of a body, that an attempt takes before its server resets the connection
+
+
+class Gate:
+    """Holds connections to servers between their establishment and the use of them."""
+
+    def __init__(self) -> None:
+        self.opened = asyncio.Event()
+        self.opened.set()
+        self.waiting = 0
+
+
+@asynccontextmanager
+async def held_connections(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Gate]:
+    gate, open_connection = Gate(), Backends._open
+
+    async def open_later(self: Backends, connection: Connection) -> None:
+        gate.waiting += 1
+        await gate.opened.wait()
+        gate.waiting -= 1
+        await open_connection(self, connection)
+
+    monkeypatch.setattr(Backends, "_open", open_later)
+    yield gate
+
+
+async def start_upload(p: Proxy) -> Client:
+    """An upload whose first server has taken a part of it."""
+    client = await p.client()
+    client.send(x_call_id="up", content_length=str(SIZE))
+    client.writer.write(b"u" * FIRST_PART)
+    await until(
+        lambda: (
+            (exchange := p.engine.exchanges.get("up")) is not None
+            and exchange.node is not None
+            and exchange.upload.total_bytes == FIRST_PART
+            and not exchange.upload.untaken_bytes
+        )
+    )
+    return client
+
+
+async def reset_first_server(p: Proxy) -> None:
+    await until(lambda: any(server.writers for server in p.backends))
+    (writer,) = [writer for server in p.backends for writer in server.writers]
+    writer.transport.abort()
+
+
+async def only_request(p: Proxy) -> ReceivedRequest:
+    """The request that exactly one server has read."""
+    await until(lambda: any(not server.requests.empty() for server in p.backends))
+    (received,) = [server.requests.get_nowait() for server in p.backends if server.requests.qsize()]
+    return received
+
+
+def test_an_upload_goes_on_at_a_second_server_whose_connection_comes_up_late(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The rest of the body arrives while it comes up, and the first part is still needed then."""
+
+    async def test() -> None:
+        async with held_connections(monkeypatch) as gate, proxy(2) as p:
+            client = await start_upload(p)
+            gate.opened.clear()
+            await reset_first_server(p)
+            await until(lambda: gate.waiting)
+            client.writer.write(b"u" * (SIZE - FIRST_PART))
+            await asyncio.sleep(0.1)  # all that is read of it without a server
+            gate.opened.set()
+            async with asyncio.timeout(5.0):
+                received = await only_request(p)
+                assert received.body == b"u" * SIZE
+                received.reply(b"stored")
+                assert (await client.reply()).body == b"stored"
+
+    run(test())
+
+
+def test_an_upload_that_was_discarded_while_its_connection_came_up_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        async with held_connections(monkeypatch) as gate, proxy(2) as p:
+            client = await start_upload(p)
+            gate.opened.clear()
+            await reset_first_server(p)
+            await until(lambda: gate.waiting)
+            p.engine.exchanges["up"].upload.discarded = True
+            gate.opened.set()
+            async with asyncio.timeout(5.0):
+                assert (await client.reply()).status in (503, 504)
+            assert all(server.requests.empty() for server in p.backends)
+
+    run(test())
+
+
+@pytest.mark.parametrize("then", ["answered", "drained", "left"])
+def test_a_connection_that_comes_up_after_its_reason_is_over_carries_no_request(
+    then: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with held_connections(monkeypatch) as gate, proxy() as p:
+            gate.opened.clear()
+            client = await p.client()
+            client.send(x_call_id="late", x_budget_ms="300")
+            await until(lambda: gate.waiting)
+            if then == "answered":
+                assert (await client.reply()).status in (503, 504)
+            elif then == "drained":
+                (backend,) = p.engine.backends.backends.values()
+                info = backend.target.info._replace(state=ServerState.DRAINING)
+                p.engine.on_list(Listing(2, True, (backend.target._replace(info=info),)))
+            else:
+                client.close()
+                await until(lambda: not p.frontend.clients)
+            gate.opened.set()
+            await asyncio.sleep(0.2)
+            assert p.backends[0].requests.empty()
+            await until(lambda: not p.engine.exchanges)
+
+    run(test())
+
+
+def test_an_upload_that_its_server_does_not_read_is_answered_once_its_client_has_sent_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The kernel has the end of the body, which can't be read for lack of room."""
+    connection_made = PlatformConnection.connection_made
+
+    def connection_made_with_small_buffer(self: PlatformConnection, transport: asyncio.BaseTransport) -> None:
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        connection_made(self, transport)
+
+    monkeypatch.setattr(PlatformConnection, "connection_made", connection_made_with_small_buffer)
+
+    async def test() -> None:
+        async with proxy() as p:
+            (backend,) = p.engine.backends.backends.values()
+            with socket.socket() as silent:  # nobody reads from it
+                silent.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+                silent.bind(("127.0.0.1", 0))
+                silent.listen()
+                backend.target = backend.target._replace(port=silent.getsockname()[1])
+                client = await p.client()
+                client.send(x_call_id="up", body=b"u" * SIZE, x_budget_ms="400")
+                transport = cast(asyncio.Transport, client.writer.transport)
+                await until(lambda: not unsent_bytes(transport))  # the request is taken
+                exchange = p.engine.exchanges["up"]
+                assert exchange.upload.total_bytes < SIZE
+                async with asyncio.timeout(0.4 + 0.5):
+                    assert (await client.reply()).status in (503, 504)
+
+    run(test())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -32,6 +32,7 @@
     "flintlatch.net.discovery",
     "flintlatch.net.engine",
     "flintlatch.net.frontend",
+    "flintlatch.net.guard",
     "flintlatch.net.http1",
     "flintlatch.net.listener",
     "flintlatch.net.listing",
