End a stop, an eviction and a close only after slow readers have their answer

Cause: the lingering close counted its second from the moment at which the last byte was handed to the transport, and then aborted whatever was left in the process. "Handed to the transport" was taken for "the other side has it", here and in four more places: eviction of a connection in lingering close, the limit on unread answers, 1 MiB of further input, and the end of a stop, 50 ms after which the process exited under answers that were still read.

Change: unsent bytes are those in the process and those that the client's machine has not acknowledged (SIOCOUTQ). `Frontend.finish` waits for answers that have begun, as does the process: what it ends itself is lost, while what the platform's SIGKILL finds is not. The admin address closes by the same rule. A client that takes no byte for 15 s (the limit of every transfer) is cut off in any state, and a stop waits for a minute at most, so slow readers hold no place, memory or stop for ever.

Looked at and left: a stream of the delivery is aborted 2 s after its close (its subscriber asks for the rest again); a fleet's worker cuts answers off at the operator's drain limit, as documented.

--- a/flintlatch/http/front.py
+++ b/flintlatch/http/front.py
@@ -90,6 +90,9 @@
             self.exchange.set_client_blocked(False)
         super().resume_writing()
 
+    def owes_bytes(self) -> bool:
+        return self.exchange is not None or super().owes_bytes()
+
     def may_start_request(self) -> bool:
         return self.exchange is None and not self.writing_blocked
 
--- a/flintlatch/net/client.py
+++ b/flintlatch/net/client.py
@@ -180,6 +180,12 @@
         """Whether nothing but the client's reading lets the connection go on."""
         return self.writing_blocked and self.request_id is None
 
+    def owes_bytes(self) -> bool:
+        """Whether the end of the process would cut off an answer."""
+        if self.state is ConnectionState.CLOSED:
+            return False
+        return self.request_id is not None or bool(self.queue) or unsent_bytes(self.transport) > 0
+
     def may_start_request(self) -> bool:
         """Whether the next request may be handled: the one before it is answered, and the client takes its
         responses, which are kept in memory until then."""
--- a/flintlatch/net/connections.py
+++ b/flintlatch/net/connections.py
@@ -202,15 +202,20 @@
 
 
 def end_lingering(connection: ManagedConnection) -> None:
-    """Aborts a connection whose peer has everything and does not close, or takes nothing for too long."""
-    unsent = unsent_bytes(connection.transport)
     if connection.progress is None:
-        connection.progress = OutputProgress(unsent)
-    stalled_s = connection.progress.stalled_s(unsent)
+        connection.progress = OutputProgress(unsent_bytes(connection.transport))
+    reason = linger_expiry(connection.progress, unsent_bytes(connection.transport))
+    if reason is not None:
+        connection.abort_for(reason)
+
+
+def linger_expiry(progress: OutputProgress, unsent: int) -> CloseReason | None:
+    """Why a lingering close is over: the peer has everything and does not close, or it takes nothing for too
+    long."""
+    stalled_s = progress.stalled_s(unsent)
     if not unsent and stalled_s >= LINGER_TIMEOUT_S:
-        connection.abort_for(CloseReason.LINGER_TIMEOUT)
-    elif stalled_s >= OUTPUT_STALL_TIMEOUT_S:
-        connection.abort_for(CloseReason.UNREAD_RESPONSES)
+        return CloseReason.LINGER_TIMEOUT
+    return CloseReason.UNREAD_RESPONSES if stalled_s >= OUTPUT_STALL_TIMEOUT_S else None
 
 
 def end_stalled(connection: ManagedConnection) -> None:
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -28,6 +28,8 @@
 # the connection in an orderly way.
 DRAIN_IDLE_TIMEOUT_S = 1.0
 FINAL_FLUSH_S = 0.05  # at the end of a stop, for the last responses to be sent
+FINAL_TRANSFERS_S = 60.0  # and for long responses that clients still read
+FINAL_TRANSFERS_INTERVAL_S = 0.02  # between two looks whether there are any
 ACCEPT_RETRY_DELAY_S = 0.05  # after a lack of descriptors
 FINAL_ACCEPT_RETRY_DELAY_S, FINAL_ACCEPT_RETRIES = 0.01, 10  # of connections queued at the end of a stop
 
@@ -249,7 +251,7 @@
 
     async def finish(self, within_s: float) -> None:
         """Stops accepting, closes connections between requests, and waits up to `within_s` until none is
-        open."""
+        open. Then fails what is not answered, and waits for the responses that have begun."""
         await self.accept_queued()  # queued connections may contain a request that was sent in time
         self.stop_accepting()
         for client in self.clients.members(ConnectionState.IDLE):
@@ -257,17 +259,31 @@
         for client in self.clients.members(ConnectionState.READING):
             if not client.request_started:
                 client.close_when_idle()
-        if self.connection_count:
-            # The event may have been set while no connection was open after the start of the stop.
-            self.all_closed.clear()
-            try:
-                async with asyncio.timeout(within_s):
-                    await self.all_closed.wait()
-            except TimeoutError:
-                log(f"stop: {self.connection_count} client connections were still open")
-                # Requests on these connections are answered before the process ends.
-                self.refusing = True
-                self.engine.fail_all()
-                await asyncio.sleep(FINAL_FLUSH_S)
+        if not await self._all_closed_within(within_s):
+            log(f"stop: {self.connection_count} client connections were still open")
+            # Requests on these connections are answered before the process ends.
+            self.refusing = True
+            self.engine.fail_all()
+            await asyncio.sleep(FINAL_FLUSH_S)
+            await self._finish_transfers()
         if self.sweep_timer is not None:
             self.sweep_timer.cancel()
+
+    async def _all_closed_within(self, seconds: float) -> bool:
+        if not self.connection_count:
+            return True
+        # The event may have been set while no connection was open after the start of the stop.
+        self.all_closed.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await self.all_closed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _finish_transfers(self) -> None:
+        """Waits for the responses that have begun, for as long as their clients take bytes of them: the end
+        of the process would cut them off. The time limits of stalled clients still hold."""
+        end_at = self.loop.time() + FINAL_TRANSFERS_S
+        while self.loop.time() < end_at and any(client.owes_bytes() for client in self.clients):
+            await asyncio.sleep(FINAL_TRANSFERS_INTERVAL_S)
--- a/flintlatch/ops/admin.py
+++ b/flintlatch/ops/admin.py
@@ -10,7 +10,9 @@
 import httptools
 
 from flintlatch.net.client import REASON_PHRASES
+from flintlatch.net.connections import OutputProgress, linger_expiry
 from flintlatch.net.guard import CallbackGuard
+from flintlatch.net.http1 import unsent_bytes
 from flintlatch.net.listener import open_listener
 from flintlatch.net.transient import retry_transient
 from flintlatch.ops.calls import Call, CallError, read_call
@@ -18,7 +20,7 @@
 MAX_CONNECTIONS = 12  # at once; from the descriptors reserved for the process itself
 MAX_CALL_BYTES = 8 * 1024  # no call has a body that is used
 CALL_TIMEOUT_S = 4.0  # a connection may be closed earlier, as the oldest of more than MAX_CONNECTIONS
-LINGER_TIMEOUT_S = 1.0  # for the peer to close after the response
+LINGER_CHECK_INTERVAL_S = 0.25  # between two looks at a connection whose response is written
 
 
 class AdminActions(Protocol):
@@ -39,6 +41,7 @@
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.target, self.received_bytes = b"", 0
         self.timer: asyncio.TimerHandle | None = None
+        self.progress: OutputProgress  # of the response, once it is written
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -92,7 +95,15 @@
         self.transport.write_eof()
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = self.admin.loop.call_later(LINGER_TIMEOUT_S, self.transport.abort)
+        self.progress = OutputProgress(unsent_bytes(self.transport))
+        self._linger()
+
+    def _linger(self) -> None:
+        """Waits until the peer has the response and closes, within the time limits of clients."""
+        if linger_expiry(self.progress, unsent_bytes(self.transport)) is not None:
+            self.transport.abort()
+        else:
+            self.timer = self.admin.loop.call_later(LINGER_CHECK_INTERVAL_S, self._linger)
 
 
 class AdminServer:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -192,6 +192,8 @@
     try:
         yield Proxy(engine, frontend, servers, registry)
     finally:
+        for client in list(frontend.clients):
+            client.transport.abort()
         await frontend.finish(0.0)
         for client in list(frontend.clients):
             client.transport.abort()
