Soak: clients that stay, long bodies under resets, and slow readers

`transfers` plays clients that stay behind bytes that can't be read, uploads of 250 kB whose connections are reset, and long answers that are read slowly on connections that close. Each client judges its own end; the ledger judges the effects. The program's own `bug:` lines count as crashes, as before.

--- a/flintlatch/standin/node.py
+++ b/flintlatch/standin/node.py
@@ -90,6 +90,7 @@
 
     def on_body(self, body: bytes) -> None:
         self.body += body
+        self.node.on_body(self, self.url)
         if len(self.body) > MAX_BODY_BYTES:
             self.transport.close()
 
@@ -179,6 +180,9 @@
         progress = min((now_ms() - self.started_ms) / shape.cold_ms, 1.0)
         return shape.start_capacity + (1 - shape.start_capacity) * progress
 
+    def on_body(self, connection: _Connection, url: bytes) -> None:
+        """A part of a request's body has been read."""
+
     def _receive(self, call: Call) -> None:
         self.ledger.receive(self.uid, call.id, call.first_byte_ms)
         if not call.id:
@@ -242,6 +246,9 @@
         timer = asyncio.get_running_loop().call_later(work_s, finish)
         self.timers.add(timer)
 
+    def response_body(self, call: Call) -> bytes:
+        return f"{self.uid} {call.id}".encode()
+
     def _record_execution(self, call: Call, effect: bool) -> None:
         key = call.key.decode("latin-1") if call.key is not None else None
         self.ledger.run(Execution(call.id, key, self.uid, self.shape.zone, self.shape.cell, now_ms(), effect))
@@ -250,7 +257,7 @@
         self.busy -= 1
         self.served += 1
         transport = call.connection.transport
-        body = f"{self.uid} {call.id}".encode()
+        body = self.response_body(call)
         if fault is Fault.ERROR:
             call.reply(500)
         elif fault is Fault.RESET_BEFORE:
--- a/flintlatch/standin/soak/audit.py
+++ b/flintlatch/standin/soak/audit.py
@@ -72,6 +72,7 @@
     registry: RegistryFacts = field(default_factory=RegistryFacts)
     closed_ms: dict[str, float] = field(default_factory=dict)  # by request: its client has closed
     found: list[Violation] = field(default_factory=list)
+    interrupted_ms: float = 0.0  # when the harness last ended connections of a server or the program
 
     def on_attempt(self, node: str, request_id: str, first_byte_ms: float, budget_ms: float | None) -> None:
         """A server has read a request whole."""
--- a/flintlatch/standin/soak/run.py
+++ b/flintlatch/standin/soak/run.py
@@ -25,6 +25,7 @@
 from flintlatch.standin.soak.registry import SoakRegistry
 from flintlatch.standin.soak.schedule import RUN_S, Family, Kind, Schedule
 from flintlatch.standin.soak.servers import SoakServer
+from flintlatch.standin.soak.transfers import TransferClients
 
 SERVERS = 6
 CELLS = 2
@@ -91,6 +92,7 @@
         self.clients = SoakClients(self.address, CLASSES, self.audit, schedule.seed, leaving)
         self.clients.has_crowd = schedule.has_crowd
         self.bad_clients = BadClients(self.address, schedule.seed)
+        self.transfers = TransferClients(self.address, CLASSES, self.audit, schedule.seed)
 
     async def play(self) -> Report:
         report = Report(self.schedule.seed, self.schedule.families)
@@ -105,6 +107,7 @@
             await self._play_events()
             traffic.cancel()
             await self._stop_program()
+            await self.transfers.finish()
         finally:
             await self._close()
         report.requests = len(self.ledger.requests)
@@ -119,6 +122,7 @@
             task.cancel()
         self.clients.close()
         self.bad_clients.close()
+        self.transfers.close()
         if hasattr(self, "program") and self.program.process.returncode is None:
             self.program.process.kill()
             await self.program.process.wait()
@@ -241,6 +245,7 @@
         process.send_signal(signal.SIGSTOP)
         ports = remote_ports(process.pid)
         self.clients.excuse(ports, "the process was killed")
+        self.audit.interrupted_ms = now_ms()
         process.kill()
         await process.wait()
         known = self._known()
@@ -282,6 +287,7 @@
             await asyncio.sleep(1 / self.schedule.rate)
         self.is_up = False
         if process.returncode is None:
+            self.audit.interrupted_ms = now_ms()
             process.kill()
         code = await process.wait()
         if code not in (0, -signal.SIGKILL):
@@ -367,6 +373,12 @@
                     self.clients.ask(self.random.choice(list(MIX)))
         elif kind is Kind.BAD_CLIENTS:
             self.bad_clients.start_bad()
+        elif kind is Kind.STAYING_CLIENTS:
+            self.transfers.start_staying()
+        elif kind is Kind.SLOW_READERS:
+            self.transfers.start_slow_readers()
+        elif kind is Kind.UPLOADS:
+            self.transfers.start_uploads()
         elif kind is Kind.CROWD:
             self.bad_clients.start_crowd()
         else:
--- a/flintlatch/standin/soak/schedule.py
+++ b/flintlatch/standin/soak/schedule.py
@@ -21,6 +21,7 @@
     PROCESS = "process"
     CLOCKS = "clocks"
     CALLS = "calls"
+    TRANSFERS = "transfers"
 
 
 class Kind(Enum):
@@ -50,6 +51,9 @@
     HOLD_UP = "held up"
     STEP_CLOCK = "wall clock stepped"
     CALL_FAULTS = "system calls fail"
+    STAYING_CLIENTS = "clients stay behind bytes that can't be read"
+    SLOW_READERS = "long responses are read slowly"
+    UPLOADS = "connections are reset under uploads"
 
 
 LIST_KINDS = (
@@ -63,6 +67,7 @@
     Family.PROCESS: (Kind.HUP_SERIES, Kind.BROKEN_CONFIG, Kind.KILL, Kind.HOLD_UP),
     Family.CLOCKS: (Kind.STEP_CLOCK,),
     Family.CALLS: (Kind.CALL_FAULTS,),
+    Family.TRANSFERS: (Kind.STAYING_CLIENTS, Kind.SLOW_READERS, Kind.UPLOADS, Kind.CLOSE_IDLE),
 }
 
 
--- a/flintlatch/standin/soak/servers.py
+++ b/flintlatch/standin/soak/servers.py
@@ -7,10 +7,12 @@
 
 from flintlatch.net.clock import now_ms
 from flintlatch.standin.ledger import Ledger
-from flintlatch.standin.node import Call, Node, Shape
+from flintlatch.standin.node import Call, Node, Shape, _Connection
 from flintlatch.standin.soak.audit import Audit, slow_start_limit
 
-IDLE_CHECK_S = 0.05
+LONG_UPLOAD = b"/purchase/long"
+RESET_WITHIN_BYTES = 72 * 1024
+RESET_PROBABILITY = 0.15  # for each part of it that is read
 
 
 class SoakServer(Node):
@@ -50,6 +52,20 @@
             self.overload_reported = True
         return False
 
+    def on_body(self, connection: _Connection, url: bytes) -> None:
+        """Resets some connections somewhere within the first part of an upload."""
+        first_bytes = len(connection.body) <= RESET_WITHIN_BYTES
+        if url.startswith(LONG_UPLOAD) and first_bytes and self.random.random() < RESET_PROBABILITY:
+            connection.transport.abort()
+
+    def response_body(self, call: Call) -> bytes:
+        size = call.url.partition(b"?size=")[2]
+        return b"." * int(size) if size else super().response_body(call)
+
+    def crash(self) -> None:
+        self.audit.interrupted_ms = now_ms()
+        super().crash()
+
     async def restart(self, address: str = "") -> None:
         """Restarts cold, at its address or at another one."""
         address = address or self.address
