Keep an upload behind an unread response from timing out; look at room first

A long upload behind a response that its client still reads waits unread, and its connection counted as one that reads: 408 after 2.5 s. It counts as serving now. The check whether an upload has arrived asks the kernel only if there is no room to read on.

Measured: the new test of tests/test_unread_responses.py, and 100 beside it.

--- a/flintlatch/exchange/core.py
+++ b/flintlatch/exchange/core.py
@@ -132,12 +132,15 @@
         else:
             self.owner.on_body_received(self)
 
-    def has_unread_end(self, unread_bytes: int) -> bool:
-        """Whether the request is known to have arrived whole although its end can't be read, because there is
-        no room for it. `unread_bytes`: of its body, beside what was passed to `receive_body`."""
-        if self.has_ended or self.upload.complete or self.request.length is None or self.upload.room > 0:
-            return False
-        return self.upload.total_bytes + unread_bytes >= self.request.length
+    def awaits_room(self) -> bool:
+        """Whether the rest of the request can't be read now."""
+        return not self.has_ended and not self.upload.complete and self.upload.room <= 0
+
+    def has_arrived(self, unread_bytes: int) -> bool:
+        """Whether the request is known to have arrived whole. `unread_bytes`: of its body, beside what was
+        passed to `receive_body`."""
+        length = self.request.length
+        return length is not None and self.upload.total_bytes + unread_bytes >= length
 
     def offer(self, now_s: float) -> None:
         """Offers the request to the decision module without waiting for the rest of it."""
--- a/flintlatch/net/client.py
+++ b/flintlatch/net/client.py
@@ -220,6 +220,8 @@
                 self.connections.move(self, ConnectionState.SERVING)
         elif self.state is ConnectionState.FINISHING:
             self.close_lingering()
+        elif self.request_started and self.writing_blocked:
+            self.connections.move(self, ConnectionState.SERVING)  # read on once the responses are taken
         elif self.request_started or not self.response_sent:
             self.connections.move(self, ConnectionState.READING)
         else:
--- a/flintlatch/net/relay.py
+++ b/flintlatch/net/relay.py
@@ -274,7 +274,7 @@
                 exchange.client.reset()
 
     def _check_exchange(self, exchange: Exchange, now_s: float) -> None:
-        if exchange.has_unread_end(exchange.client.unread_body_bytes()):
+        if exchange.awaits_room() and exchange.has_arrived(exchange.client.unread_body_bytes()):
             self._on_request_received(exchange)
         stall = exchange.tick(now_s)
         if stall is not None:
--- a/tests/test_unread_responses.py
+++ b/tests/test_unread_responses.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from flintlatch.net import client as client_module
 from flintlatch.net import connections as connections_module
 from flintlatch.net import frontend as frontend_module
 from flintlatch.net.client import Client as AcceptedClient
@@ -83,6 +84,30 @@
     run(test())
 
 
+def test_an_upload_behind_a_response_that_is_read_slowly_has_not_timed_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    short_timeouts(monkeypatch, 30.0)
+    monkeypatch.setattr(connections_module, "REQUEST_READ_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(client_module, "BODY_IDLE_TIMEOUT_S", 0.05)
+
+    async def test() -> None:
+        async with proxy() as p:
+            with reader_socket(p) as sock:
+                sock.sendall(request_head("one"))
+                await answer(p, LAST_PART_UNSENT_BYTES)
+                (client,) = await all_clients(p)
+                await until(lambda: client.state is ConnectionState.IDLE)
+                upload = b"POST /answer HTTP/1.1\r\nhost: a\r\nx-call-id: two\r\nx-budget-ms: 9000\r\n"
+                sock.sendall(upload + b"content-length: 70000\r\n\r\n" + b"u" * 70_000)
+                await asyncio.sleep(0.3)
+                reading = asyncio.create_task(read_bodies(sock, LAST_PART_UNSENT_BYTES + 6))
+                await answer(p, 0)
+                assert (await reading).endswith(b"two")
+
+    run(test())
+
+
 def test_a_client_that_never_reads_is_ended_with_its_waiting_requests(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
