Tell a server what is left to a client whose upload has arrived but isn't read

Cause: a condition is checked late, again. While no server takes an upload, its end waits in the kernel; the client's time runs, and the proxy counted it from when the end was read, and until then told every server the whole budget.

Ruled out: the harness's deadline.

Change: the exchange knows when its request has arrived whole, by the bytes that the kernel holds and the time since the last of them (tcp(7), TCP_INFO), at most the time since it last read. It is looked for at each check, before an attempt is written and before reading goes on. Ordinary HTTP counts from the reading, as before; so do chunked uploads, whose end in the kernel is not known.

Measured: the new test failed before (2999 ms told where 2550 were due), and passes.

--- a/flintlatch/exchange/core.py
+++ b/flintlatch/exchange/core.py
@@ -41,6 +41,9 @@
     def on_body_received(self, exchange: Exchange) -> None:
         """The body of an upload is complete."""
 
+    def on_request_arrived(self, exchange: Exchange) -> None:
+        """The rest of an upload has reached this machine and can't be read yet."""
+
     def on_body_discarded(self, exchange: Exchange) -> None:
         """A part of the body is no longer buffered: no attempt may follow the current one."""
 
@@ -83,6 +86,8 @@
         # First byte of the response (of a node or of the proxy), last byte of the request, end of the
         # exchange; 0: not yet.
         self.first_byte_s = self.request_complete_s = self.ended_s = 0.0
+        # When the last byte of the request reached this machine, even if it was not read then.
+        self.arrived_whole_s: float | None = None
         self.upload_pipe = Pipe(
             Side.CLIENT,
             self.upload.max_bytes + self.upload.flow_bytes,
@@ -125,6 +130,8 @@
         if self.has_ended:
             return
         self.trailers, self.request_complete_s = trailers or [], now_s
+        if self.arrived_whole_s is None:
+            self.arrived_whole_s = now_s
         self.upload_pipe.end_source(now_s)
         self.upload.end()
         if self.phase is Phase.GATHERING:
@@ -132,15 +139,21 @@
         else:
             self.owner.on_body_received(self)
 
-    def awaits_room(self) -> bool:
-        """Whether the rest of the request can't be read now."""
-        return not self.has_ended and not self.upload.complete and self.upload.room <= 0
-
-    def has_arrived(self, unread_bytes: int) -> bool:
-        """Whether the request is known to have arrived whole. `unread_bytes`: of its body, beside what was
-        passed to `receive_body`."""
+    def look_for_end(self, now_s: float) -> None:
+        """Finds out whether the request has arrived whole although its end was not read yet for lack of room:
+        its client waits from then on."""
         length = self.request.length
-        return length is not None and self.upload.total_bytes + unread_bytes >= length
+        if self.arrived_whole_s is not None or length is None or self.has_ended:
+            return
+        if self.upload.total_bytes + self.client.unread_body_bytes() >= length:
+            self.arrived_whole_s = now_s - self.client.s_since_last_byte()
+            self.owner.on_request_arrived(self)
+
+    def left_ms(self, now_s: float) -> float:
+        """How long the client still waits for the response; all of its time while it sends the request."""
+        if self.arrived_whole_s is None:
+            return self.routing.budget_ms
+        return self.routing.budget_ms - (now_s - self.arrived_whole_s) * 1000
 
     def offer(self, now_s: float) -> None:
         """Offers the request to the decision module without waiting for the rest of it."""
--- a/flintlatch/exchange/sides.py
+++ b/flintlatch/exchange/sides.py
@@ -44,6 +44,9 @@
     def unread_body_bytes(self) -> int:
         """Bytes of the request's body that the machine has and this side has not read or passed on yet."""
 
+    def s_since_last_byte(self) -> float:
+        """Seconds since the machine received the last byte of the client; 0 if that is not known."""
+
     def gone(self) -> bool:
         """Whether the client has left, by what the operating system knows at this moment."""
 
--- a/flintlatch/http/front.py
+++ b/flintlatch/http/front.py
@@ -24,7 +24,6 @@
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Answer
 from flintlatch.net.frontend import Frontend
-from flintlatch.net.http1 import unread_bytes
 from flintlatch.net.relay import Refusal, RelayEngine
 
 if TYPE_CHECKING:
@@ -334,7 +333,11 @@
         return self.transport.get_write_buffer_size()
 
     def unread_body_bytes(self) -> int:
-        return len(self.buffer) + unread_bytes(self.transport)
+        """Nothing: the time of a request counts from when its end is read."""
+        return 0
+
+    def s_since_last_byte(self) -> float:
+        return 0.0
 
     # Writing responses
 
--- a/flintlatch/net/relay.py
+++ b/flintlatch/net/relay.py
@@ -82,6 +82,7 @@
             self.end(Result.NOT_SENT)
             return False
         if not self.exchange.client.gone():
+            self.exchange.look_for_end(now_ms() / 1000)
             return True
         self.end(Result.NOT_SENT)
         self.exchange.client_left(now_ms() / 1000)
@@ -172,9 +173,12 @@
 
     def on_body_received(self, exchange: Exchange) -> None:
         self._post_event(BodyReceived(exchange.routing.id))
+        self.on_request_arrived(exchange)
+
+    def on_request_arrived(self, exchange: Exchange) -> None:
         pending = self.requests.get(exchange.routing.id)
         if pending is not None and not pending.completed:
-            self._shorten_deadline(pending, exchange.routing.budget_ms)
+            self._shorten_deadline(pending, max(exchange.left_ms(now_ms() / 1000), 0.0))
 
     def on_body_discarded(self, exchange: Exchange) -> None:
         self._post_event(BodyDiscarded(exchange.routing.id))
@@ -274,18 +278,11 @@
                 exchange.client.reset()
 
     def _check_exchange(self, exchange: Exchange, now_s: float) -> None:
-        if exchange.awaits_room() and exchange.has_arrived(exchange.client.unread_body_bytes()):
-            self._on_request_received(exchange)
+        exchange.look_for_end(now_s)
         stall = exchange.tick(now_s)
         if stall is not None:
             log.event("transfer_stalled", id=exchange.routing.id, reason=stall.value)
 
-    def _on_request_received(self, exchange: Exchange) -> None:
-        """The kernel has the rest of a request that can't be read yet: its client has begun to wait."""
-        pending = self.requests.get(exchange.routing.id)
-        if pending is not None and not pending.completed:
-            self._shorten_deadline(pending, exchange.routing.budget_ms)
-
     # Actions of the decision module
 
     def _execute(self, action: Action) -> None:
--- a/flintlatch/platform/front.py
+++ b/flintlatch/platform/front.py
@@ -6,6 +6,7 @@
 import asyncio
 import socket
 from dataclasses import dataclass
+from math import inf
 
 from flintlatch.exchange import BodyTooLarge, Exchange, Fields, Piece, ProxyResponse, Response, RoutingInfo
 from flintlatch.net.client import READY_PATH, REASON_PHRASES, Client
@@ -14,7 +15,7 @@
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Answer
 from flintlatch.net.frontend import Frontend
-from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, unread_bytes
+from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, ms_since_last_data, unread_bytes
 from flintlatch.net.request import Message, Reader, RequestError, check_framing
 from flintlatch.platform.engine import ForwardedRequest, PlatformEngine
 from flintlatch.platform.limits import (
@@ -274,6 +275,18 @@
     def unread_body_bytes(self) -> int:
         return len(self.unparsed) + unread_bytes(self.transport)
 
+    def s_since_last_byte(self) -> float:
+        # What is unread has arrived after what was read last.
+        longest_ms = max(now_ms() - self.last_data_ms, 0.0)
+        since_ms = ms_since_last_data(self.transport)
+        return min(since_ms, longest_ms) / 1000 if since_ms < inf else 0.0
+
+    def _resume_reading(self) -> None:
+        """The end of an upload may have arrived while it was not read."""
+        if self.exchange is not None and self in self.connections.paused:
+            self.exchange.look_for_end(now_ms() / 1000)
+        super()._resume_reading()
+
     def _on_response_end(self) -> None:
         self.exchange = self.request_id = None
         self.response_sent = True
--- a/flintlatch/standin/soak/transfers.py
+++ b/flintlatch/standin/soak/transfers.py
@@ -10,6 +10,7 @@
 import socket
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from contextlib import suppress
+from math import inf
 from random import Random
 from typing import Any, cast
 
@@ -83,7 +84,7 @@
         if broken:
             self.audit.add("lost", detail)
 
-    def _request(self, path: str, fields: str = "", body_bytes: int = 0) -> bytes:
+    def _request(self, path: str, fields: str = "", body_bytes: int = 0) -> tuple[RequestRecord, bytes]:
         """A request, which is in the ledger for the rules on its effect."""
         self.count += 1
         spec = self.classes[path.split("/")[1]]
@@ -98,7 +99,7 @@
             lines.append(f"Idempotency-Key: {call_id}")
         if body_bytes:
             lines.append(f"Content-Length: {body_bytes}")
-        return ("\r\n".join(lines) + f"\r\n{fields}\r\n").encode()
+        return record, ("\r\n".join(lines) + f"\r\n{fields}\r\n").encode()
 
     async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         host, _, port = self.address.rpartition(":")
@@ -112,7 +113,8 @@
         """Sends bytes that can't be read behind an open request, reads, and stays."""
         reader, writer = await self._connect()
         try:
-            writer.write(self._request("/answer/stays"))
+            _, message = self._request("/answer/stays")
+            writer.write(message)
             await asyncio.sleep(BEHIND_DELAY_S)
             writer.write(self.random.choice(UNREADABLE))
             await reader.readuntil(b"\r\n\r\n")  # so it was accepted
@@ -129,7 +131,8 @@
         reader, writer = await self._connect()
         try:
             size = self.random.randint(*LONG_RESPONSE_BYTES)
-            writer.write(self._request(f"/answer/long?size={size}", "Connection: close\r\n"))
+            _, message = self._request(f"/answer/long?size={size}", "Connection: close\r\n")
+            writer.write(message)
             head = await reader.readuntil(b"\r\n\r\n")
             if b" 200 " not in head:
                 return
@@ -150,10 +153,14 @@
         """Sends a long body in pieces; its servers may reset the connection within it."""
         reader, writer = await self._connect()
         try:
-            writer.write(self._request("/purchase/long", body_bytes=UPLOAD_BYTES))
+            record, message = self._request("/purchase/long", body_bytes=UPLOAD_BYTES)
+            record.deadline_ms = inf  # its time counts from its last byte
+            writer.write(message)
             left = UPLOAD_BYTES
             while left and not reader.at_eof() and not writer.transport.is_closing():
                 size = min(left, self.random.randint(*PIECE_BYTES))
+                if size == left:
+                    record.sent_ms, record.deadline_ms = now_ms(), now_ms() + BUDGET_MS
                 writer.write(b"x" * size)
                 left -= size
                 await writer.drain()
--- a/tests/exchange/test_core.py
+++ b/tests/exchange/test_core.py
@@ -69,6 +69,9 @@
     def unread_body_bytes(self) -> int:
         return 0
 
+    def s_since_last_byte(self) -> float:
+        return 0.0
+
 
 class Node:
     def __init__(self) -> None:
@@ -90,6 +93,9 @@
     def request_server(self, exchange: Exchange, uploading: bool) -> None:
         self.calls.append("request server")
 
+    def on_request_arrived(self, exchange: Exchange) -> None:
+        pass
+
     def on_body_received(self, exchange: Exchange) -> None:
         self.calls.append("body received")
 
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -20,6 +20,7 @@
 
 SIZE = 250_000
 SMALL_BUFFER_BYTES = 4096
+BUDGET_SLACK_MS = 150.0  # of the time told to a server over what is left to the client
 FIRST_PART = 60_000  # of a body, that an attempt takes before its server resets the connection
 
 
@@ -46,10 +47,10 @@
     yield gate
 
 
-async def start_upload(p: Proxy) -> Client:
+async def start_upload(p: Proxy, budget_ms: float = 20_000.0) -> Client:
     """An upload whose first server has taken a part of it."""
     client = await p.client()
-    client.send(x_call_id="up", content_length=str(SIZE))
+    client.send(x_call_id="up", content_length=str(SIZE), x_budget_ms=f"{budget_ms:.0f}")
     client.writer.write(b"u" * FIRST_PART)
     await until(
         lambda: (
@@ -98,6 +99,33 @@
     run(test())
 
 
+def test_a_second_server_is_told_what_is_left_to_a_client_that_has_sent_everything(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The client waits from its last byte on, which the proxy can't read before the second server reads."""
+    budget_ms, held_s = 3000.0, 0.6
+
+    async def test() -> None:
+        async with held_connections(monkeypatch) as gate, proxy(2) as p:
+            client = await start_upload(p, budget_ms)
+            gate.opened.clear()
+            await reset_first_server(p)
+            await until(lambda: gate.waiting)
+            client.writer.write(b"u" * (SIZE - FIRST_PART))
+            transport = cast(asyncio.Transport, client.writer.transport)
+            async with asyncio.timeout(2.0):
+                await until(lambda: not unsent_bytes(transport))
+            assert p.engine.exchanges["up"].upload.total_bytes < SIZE
+            await asyncio.sleep(held_s)
+            gate.opened.set()
+            received = await only_request(p)
+            assert int(received.headers["x-budget-ms"]) <= budget_ms - held_s * 1000 + BUDGET_SLACK_MS
+            received.reply(b"stored")
+            assert (await client.reply()).body == b"stored"
+
+    run(test())
+
+
 def test_an_upload_that_was_discarded_while_its_connection_came_up_is_answered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
