Hold the count of the fleets' proxies for as long as the membership is uncertain

Its share of what the fleets have in common rose early.

Cause: Census extended its hold only when a view arrived, so it ended during a suspicion that stood while no view changed. Second half: a member that doubts its own connectivity probes slowly and suspects the others one by one, with gaps longer than the hold. Third, found by the fix: each view replaced an earlier one of the same count, so with views more often than the hold the old maximum never left, and the count never fell.

Change: the hold is extended for as long as an uncertain view stands; Peers.is_uncertain counts a member's doubt of itself too, and is asked at each renewal; an unchanged count keeps its time.

--- a/flintlatch/fleet/agreed.py
+++ b/flintlatch/fleet/agreed.py
@@ -17,7 +17,7 @@
 from flintlatch.fleet.judging import OutlierEjector
 from flintlatch.fleet.limiting import Limiter
 from flintlatch.limits.api import limit_topics
-from flintlatch.peers import Census, CensusView, Entry, FleetPosition, Merge, Rules, State, Topic, View
+from flintlatch.peers import Census, CensusView, Entry, FleetPosition, Merge, Rules, Topic, View
 from flintlatch.peers.clock import clock
 from flintlatch.peers.seal import InvalidKeyFile, read_keys
 from flintlatch.peers.shell import BindError, Options, Shell
@@ -183,15 +183,16 @@
     # From other members
 
     def _on_view(self, view: View) -> None:
-        shell = self.shell
-        if shell is None:
+        self._update_census()
+        self._send_entries()
+
+    def _update_census(self) -> None:
+        if self.shell is None:
             return
-        peers = shell.member.peers
+        peers = self.shell.member.peers
         alive_members = peers.active_records()
         preceding_instances = sum(record.instances for record in alive_members if record.name < peers.me.name)
-        uncertain = not peers.joined or any(record.state is State.SUSPECT for record in alive_members)
-        self.census.update(clock(), CensusView(peers.instances(), preceding_instances, uncertain))
-        self._send_entries()
+        self.census.update(clock(), CensusView(peers.instances(), preceding_instances, peers.is_uncertain()))
 
     def _on_entries(self, entries: tuple[Entry, ...]) -> None:
         if self.limiter is not None:
@@ -210,6 +211,7 @@
 
     def _renew(self) -> None:
         self.renew_timer = self.loop.call_later(self.table.word_s / RENEWALS_PER_TTL, self._renew)
+        self._update_census()  # whether the view is certain can change while the view stays
         self._send_entries(renew=True)
 
     def _send_entries(self, renew: bool = False) -> None:
--- a/flintlatch/peers/census.py
+++ b/flintlatch/peers/census.py
@@ -27,7 +27,7 @@
 
     instances: int  # of all active members, this one included
     before: int  # instances of the members whose names sort before this one's
-    uncertain: bool  # a member is suspected, or no other member has been met yet
+    uncertain: bool  # active members may be unreachable: see Peers.is_uncertain
 
 
 class Census:
@@ -40,18 +40,19 @@
         self.estimate = float(max(configured, own))
         self.hold_until = now + hold_s
         self.updated_at = now
-        # (time, count) with decreasing counts: the first is the maximum of the last hold_s.
+        # (since when, count) with decreasing counts: the first is the maximum of the last hold_s.
         self.history: deque[tuple[float, int]] = deque()
         self.view = CensusView(own, 0, True)
 
     def update(self, now: float, view: CensusView) -> None:
         self.read(now)
-        if view.uncertain or view.instances < self.view.instances:
+        if view.instances < self.view.instances:
             self.hold_until = now + self.hold_s
         self.view = view
-        while self.history and self.history[-1][1] <= view.instances:
+        while self.history and self.history[-1][1] < view.instances:
             self.history.pop()
-        self.history.append((now, view.instances))
+        if not self.history or self.history[-1][1] > view.instances:
+            self.history.append((now, view.instances))
         self.estimate = max(self.estimate, float(view.instances))
 
     def read(self, now: float) -> FleetPosition:
@@ -59,6 +60,8 @@
         while len(self.history) > 1 and self.history[1][0] <= now - self.hold_s:
             self.history.popleft()
         target = max([self.view.instances, self.own, *(instances for _, instances in self.history)])
+        if self.view.uncertain:  # also while no further view arrives
+            self.hold_until = now + self.hold_s
         falling_s = now - max(self.updated_at, self.hold_until)
         if self.estimate > target and falling_s > 0:
             self.estimate = max(float(target), self.estimate * (1 - FALL_PER_S) ** falling_s)
--- a/flintlatch/peers/core.py
+++ b/flintlatch/peers/core.py
@@ -207,6 +207,12 @@
     def instances(self) -> int:
         return sum(record.instances for record in self.active.values())
 
+    def is_uncertain(self) -> bool:
+        """Whether active members may be unreachable without having been found dead yet: one is suspected, or
+        this member has not joined or doubts its own connectivity, which delays its suspicions."""
+        doubts_itself = self.health > 0 and self.count() > 1
+        return not self.joined or bool(self.suspicions) or doubts_itself
+
     def suspicion_timeout_s(self, reporters: int) -> float:
         """How long a suspected member has to refute (Lifeguard, section IV-B)."""
         shortest = self.rules.suspicion * log_scale(self.count()) * self.rules.period_s
