Soak: excuse at a SIGKILL what the killed process had not accepted

Cause, traced with the times of each kill and request: the harness. At its SIGKILL it excuses the connections in the process's descriptor table. A connection in the kernel's accept queue is in none, and one that a client is only opening was not among the clients' connections yet (traced requests: sent 0.3 ms after the kill; asked 10 ms before it, refused after it). No process ever had them.

Change: the ports in the accept queue are read from proc(5) (established, no inode), and the requests whose connection is being opened are excused too. One that the process itself closed before the kill is still lost. Requests that wait in the harness for a connection are dropped as not sent, at a kill and at the end of a stop, where they would have counted as lost.

Result: three new tests, one of them that a close by the process is still found.

--- a/flintlatch/standin/soak/clients.py
+++ b/flintlatch/standin/soak/clients.py
@@ -20,6 +20,8 @@
 LEFT = "its client left"
 SHUT_UNREAD = "shut unread, with a crowd"
 NOT_ACCEPTED = "not accepted, the process stops"
+NOT_SENT = "not sent"
+KILLED = "the process was killed"
 
 
 class SoakClients(Clients):
@@ -33,6 +35,8 @@
         self.leaving = leaving  # fraction of the requests whose client leaves before the answer
         self.reuse_only = False
         self.has_crowd = False
+        self.connecting: set[str] = set()  # requests whose connection is being opened
+        self.connecting_at_kill: set[str] = set()
 
     def ask(self, name: str, key: str | None = None) -> RequestRecord:
         request = super().ask(name, key)
@@ -46,6 +50,30 @@
         request.sent_ms = now_ms()
         request.deadline_ms = request.sent_ms + request.spec.deadline_ms
 
+    def _open(self, request: RequestRecord, message: bytes) -> Coroutine[Any, Any, None]:
+        self.connecting.add(request.id)  # now, and not when the task first runs
+        return self._connect(request, message)
+
+    async def _connect(self, request: RequestRecord, message: bytes) -> None:
+        try:
+            await super()._open(request, message)
+        finally:
+            self.connecting.discard(request.id)
+
+    def on_kill(self, ports: set[int]) -> None:
+        """The process is killed. Excuses the requests on its connections, given by their local ports, those
+        whose connection is only being opened, and those that wait for one."""
+        self.excuse(ports, KILLED)
+        self.connecting_at_kill |= self.connecting
+        self.drop_unsent()
+
+    def drop_unsent(self) -> None:
+        """Gives up the requests that wait for a connection."""
+        unsent, self.queue = self.queue, []
+        for request, _ in unsent:
+            request.excused = NOT_SENT
+            self.on_done(request)
+
     def _leave(self, request: RequestRecord) -> None:
         for connection in list(self.connections):
             if connection.pending is request:
@@ -65,7 +93,9 @@
         if not request.answers and not request.excused:
             refused = "could not connect" in request.failure
             new_connection = "on its 1. request, 0 bytes" in request.failure
-            if self.reuse_only and (refused or (new_connection and request.close_races)):
+            if request.id in self.connecting_at_kill:
+                request.excused = KILLED
+            elif self.reuse_only and (refused or (new_connection and request.close_races)):
                 request.excused = NOT_ACCEPTED
             elif self.has_crowd and (refused or new_connection):
                 request.excused = SHUT_UNREAD
--- a/flintlatch/standin/soak/run.py
+++ b/flintlatch/standin/soak/run.py
@@ -17,7 +17,7 @@
 from flintlatch.net.clock import now_ms
 from flintlatch.standin.ledger import Ledger
 from flintlatch.standin.node import Fault, Shape
-from flintlatch.standin.process import remote_ports
+from flintlatch.standin.process import remote_ports, unaccepted_ports
 from flintlatch.standin.proxy import ProxyProcess, configuration, free_address
 from flintlatch.standin.shim import CallFault, Shim
 from flintlatch.standin.soak.audit import Audit
@@ -243,8 +243,8 @@
         self.is_up = False
         process = self.program.process
         process.send_signal(signal.SIGSTOP)
-        ports = remote_ports(process.pid)
-        self.clients.excuse(ports, "the process was killed")
+        listen_port = int(self.address.rpartition(":")[2])
+        self.clients.on_kill(remote_ports(process.pid) | unaccepted_ports(listen_port))
         self.audit.interrupted_ms = now_ms()
         process.kill()
         await process.wait()
@@ -282,7 +282,7 @@
                 self.clients.ask(name)
             else:
                 self.clients.reuse_only = True
-                self.clients.queue.clear()
+                self.clients.drop_unsent()
                 self.clients.ask_on_open_connection(name)
             await asyncio.sleep(1 / self.schedule.rate)
         self.is_up = False
--- a/tests/standin/test_soak.py
+++ b/tests/standin/test_soak.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
 from pathlib import Path
 
 import pytest
 
 from flintlatch.api import Effect, RequestClass
 from flintlatch.standin.ledger import Execution, Ledger, RequestRecord
+from flintlatch.standin.process import unaccepted_ports
 from flintlatch.standin.shim import compile_shim
 from flintlatch.standin.soak import Family, Schedule, SoakRun
 from flintlatch.standin.soak.audit import Audit, slow_start_limit
+from flintlatch.standin.soak.clients import KILLED, SoakClients
 from flintlatch.standin.soak.run import program_folder
 from tests.loopback import run
 
@@ -31,6 +35,47 @@
     run(test())
 
 
+# The clients
+
+
+@pytest.mark.parametrize("ask_first", [False, True], ids=["connecting", "in the accept queue"])
+def test_a_request_that_the_process_has_not_accepted_is_excused_at_a_kill(ask_first: bool) -> None:
+    # Guards against requests in the kernel alone that are held against a process that was killed.
+    async def test() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            clients = soak_clients(listener)
+            request = clients.ask("answer")
+            if ask_first:
+                await asyncio.sleep(0.05)
+            port = listener.getsockname()[1]
+            assert unaccepted_ports(port) == {connection.port for connection in clients.connections}
+            clients.on_kill(unaccepted_ports(port))
+        await clients.all_answered.wait()
+        assert not request.answers and request.excused == KILLED
+
+    run(test())
+
+
+def test_a_request_that_the_process_closed_before_a_kill_is_not_excused() -> None:
+    async def test() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            clients = soak_clients(listener)
+            request = clients.ask("answer")
+            await asyncio.sleep(0.05)
+            accepted, _ = listener.accept()
+            accepted.close()
+            clients.on_kill(unaccepted_ports(listener.getsockname()[1]))
+            await clients.all_answered.wait()
+            assert request.failure and not request.excused
+
+    run(test())
+
+
+def soak_clients(listener: socket.socket) -> SoakClients:
+    address = "{}:{}".format(*listener.getsockname())
+    return SoakClients(address, {"answer": RequestClass(300, 900, Effect.SAFE)}, audited(), seed=1)
+
+
 # The audit
 
 
