Retry a failed accept after 1 ms first: waits behind a crowd exceeded deadlines

Cause: after each accept that failed (ENFILE, EMFILE, ENOBUFS, EPROTO) the proxy paused for 50 ms. The pauses add up over the connections that wait in the kernel's queue.

Change: the pause begins at 1 ms and doubles with each further failure up to 50 ms; an accept that succeeds resets it. A lasting lack is looked at as rarely as before.

--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -30,7 +30,10 @@
 FINAL_FLUSH_S = 0.05  # at the end of a stop, for the last responses to be sent
 FINAL_TRANSFERS_S = 60.0  # and for long responses that clients still read
 FINAL_TRANSFERS_INTERVAL_S = 0.02  # between two looks whether there are any
-ACCEPT_RETRY_DELAY_S = 0.05  # after a lack of descriptors
+FULL_RETRY_DELAY_S = 0.05  # between two looks whether a client may be evicted
+# After an accept that failed, doubled with each further failure: connections that wait are served in time if
+# it fails for a moment only.
+MIN_ACCEPT_RETRY_DELAY_S, MAX_ACCEPT_RETRY_DELAY_S = 0.001, 0.05
 FINAL_ACCEPT_RETRY_DELAY_S, FINAL_ACCEPT_RETRIES = 0.01, 10  # of connections queued at the end of a stop
 
 
@@ -71,6 +74,7 @@
         self.on_connection_count: Callable[[int], None] | None = None
         self.should_pause_accepting: Callable[[], bool] | None = None
         self.accept_pause_s, self.accept_pause_over = 0.0, False
+        self.accept_retry_delay_s = MIN_ACCEPT_RETRY_DELAY_S
         # Since when connections have waited in the kernel's queue; None: they are accepted as they come.
         self.accept_delayed_since_ms: float | None = None
         self.sweep_timer: asyncio.TimerHandle | None = None
@@ -113,10 +117,10 @@
             for sock in self.listeners:
                 self.loop.remove_reader(sock.fileno())
 
-    def _retry_accepting_later(self) -> None:
-        """Pauses accepting while the limit is reached, until a client leaves or may be evicted."""
+    def _retry_accepting_after(self, delay_s: float) -> None:
+        """Pauses accepting; new connections wait in the kernel's queue."""
         self._pause_accepting()
-        self.loop.call_later(ACCEPT_RETRY_DELAY_S, self._resume_accepting)
+        self.loop.call_later(delay_s, self._resume_accepting)
 
     def _accept(self, listener: socket.socket) -> None:
         if (
@@ -134,8 +138,13 @@
                 self.accept_delayed_since_ms = None
             elif self.accept_delayed_since_ms is None and result is not AcceptResult.ACCEPTED:
                 self.accept_delayed_since_ms = now_ms()
-            if result in (AcceptResult.FULL, AcceptResult.FAILED):
-                self._retry_accepting_later()  # new connections wait in the kernel's queue
+            if result in (AcceptResult.ACCEPTED, AcceptResult.REPLACED):
+                self.accept_retry_delay_s = MIN_ACCEPT_RETRY_DELAY_S
+            elif result is AcceptResult.FULL:  # until a client leaves or may be evicted
+                self._retry_accepting_after(FULL_RETRY_DELAY_S)
+            elif result is AcceptResult.FAILED:
+                self._retry_accepting_after(self.accept_retry_delay_s)
+                self.accept_retry_delay_s = min(2 * self.accept_retry_delay_s, MAX_ACCEPT_RETRY_DELAY_S)
             if result is not AcceptResult.ACCEPTED:
                 return
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -13,6 +13,7 @@
 import pytest
 
 from flintlatch.net import transient
+from flintlatch.net.frontend import AcceptResult
 from flintlatch.net.transient import retry_transient
 from flintlatch.standin.shim import CallFault, Shim, compile_shim
 from tests.loopback import Client, ScriptedServer, configuration, proxy, run, target
@@ -20,6 +21,8 @@
 
 ACCEPT_ERRNOS = [errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.EINTR, errno.EPROTO]
 
+SHORTEST_DEADLINE_S = 0.75  # of the classes of the soak
+
 
 class FailingListener:
     """A listening socket whose `accept` fails before each connection that it accepts."""
@@ -57,6 +60,49 @@
     run(test())
 
 
+@pytest.mark.parametrize("error", ACCEPT_ERRNOS)
+def test_a_crowd_is_accepted_in_time_although_accept_fails_for_each_connection(error: int) -> None:
+    # Guards against a pause for each failure that adds up over those who wait in the accept queue.
+    async def test() -> None:
+        async with proxy() as p:
+            p.frontend._pause_accepting()
+            clients = [await p.client() for _ in range(30)]
+            for client in clients:
+                client.send("/health/ready", "GET")
+            p.frontend.listeners = [FailingListener(p.frontend.listeners[0], error)]  # type: ignore[list-item]
+            p.frontend._resume_accepting()
+            async with asyncio.timeout(SHORTEST_DEADLINE_S):
+                assert [(await client.reply()).status for client in clients] == [200] * len(clients)
+
+    run(test())
+
+
+def test_a_lasting_lack_of_descriptors_is_looked_at_rarely(monkeypatch: pytest.MonkeyPatch) -> None:
+    calls = 0
+
+    async def test() -> None:
+        nonlocal calls
+        async with proxy() as p:
+            p.frontend._pause_accepting()
+            client = await p.client()
+            client.send("/health/ready", "GET")
+            accept_one = p.frontend._accept_one
+
+            def fail(_: socket.socket) -> AcceptResult:
+                nonlocal calls
+                calls += 1
+                return AcceptResult.FAILED
+
+            monkeypatch.setattr(p.frontend, "_accept_one", fail)
+            p.frontend._resume_accepting()
+            await asyncio.sleep(0.5)
+            monkeypatch.setattr(p.frontend, "_accept_one", accept_one)
+            assert (await client.reply()).status == 200
+
+    run(test())
+    assert 5 < calls < 20
+
+
 def test_an_operation_is_repeated_while_it_fails_with_a_transient_error() -> None:
     failures = [errno.ENFILE, errno.EINTR, errno.EIO]
 
