End an attempt whose connect time-out fires as its connection is made

What callers saw: nothing until the deadline, then 504; or an attempt that failed with a logged bug ("file descriptor cannot be a negative integer"), when the pool used a dead connection again.

Cause: when the time-out of a connect fires in the loop turn in which the connection is made, the cancelled create_connection closes the transport and calls no connection_lost; is_closing stays false. The request had been written by then, or the connection had gone to the idle ones. The comment that "the connection reports its outcome" was wrong.

Change: on_connected asks whether its connect task is being cancelled, writes nothing then and leaves the outcome to the task; otherwise it takes the time-out away, which could fire before the task resumes. The same holds for a connect that is cancelled by the end of its attempt.

Result: two forms of a new test, each forced: 504 after the whole budget before, 200 after.

--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -109,6 +109,7 @@
         self.pool, self.backend, self.generation = pool, backend, backend.generation
         self.attempt: Attempt | None = None
         self.connect_task: asyncio.Task[None] | None = None
+        self.connect_timeout: asyncio.Timeout | None = None
         self.idle_since_ms = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -119,6 +120,13 @@
         """Sends the attempt that this connection was opened for, unless it is not wanted any more or its
         write limit has passed."""
         self.backend.connecting.discard(self)
+        if self.connect_task is not None and self.connect_task.cancelling():
+            # Its timeout has fired in this loop turn. The loop will close the transport and call no
+            # `connection_lost`; the cancelled task gives the attempt its outcome.
+            self.transport = None
+            return
+        if self.connect_timeout is not None:  # otherwise it could fire before the task resumes
+            self.connect_timeout.reschedule(None)
         attempt = self.attempt
         if attempt is None:
             self.close()
@@ -276,13 +284,11 @@
     async def _open(self, connection: Connection) -> None:
         target = connection.backend.target
         try:
-            async with asyncio.timeout(self.connect_timeout_s):
+            async with asyncio.timeout(self.connect_timeout_s) as connection.connect_timeout:
                 await self.loop.create_connection(
                     lambda: CallbackGuard(connection), target.host, target.port, local_addr=self.local_address
                 )
         except OSError as error:  # refused, unreachable, no descriptor left, or timed out
-            # The timeout may fire just as the connection is established. The request has been written then,
-            # and the connection reports its outcome.
             if connection.attempt is not None and connection.transport is None:
                 local_shortage = error.errno in LOCAL_SHORTAGE_ERRNOS
                 connection.attempt.end(Result.NO_ROOM if local_shortage else Result.CONNECT_FAILED)
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import cast
@@ -47,6 +48,49 @@
     yield gate
 
 
+CONNECT_TIMEOUT_MS = 100.0
+
+
+def fire_timeout(connection: Connection) -> None:
+    """What asyncio does when the timeout of a connect is over."""
+    timeout = connection.connect_timeout
+    assert timeout is not None and timeout._timeout_handler is not None  # type: ignore[attr-defined]
+    timeout._timeout_handler.cancel()  # type: ignore[attr-defined]
+    timeout._on_timeout()  # type: ignore[attr-defined]
+
+
+@pytest.mark.parametrize("held_up", ["before use", "after use"])
+def test_a_connect_timeout_in_the_turn_in_which_the_connection_is_made_ends_no_connection_silently(
+    monkeypatch: pytest.MonkeyPatch, held_up: str
+) -> None:
+    # Guards against a connection that the loop closes without a callback: its attempt gets no outcome, or the
+    # pool uses it again.
+    on_connected, connected = Connection.on_connected, 0
+
+    def held_up_once(self: Connection) -> None:
+        nonlocal connected
+        connected += 1
+        if connected == 1 and held_up == "before use":
+            fire_timeout(self)
+        on_connected(self)
+        if connected == 1 and held_up == "after use":
+            time.sleep(1.5 * CONNECT_TIMEOUT_MS / 1000)
+
+    monkeypatch.setattr(Connection, "on_connected", held_up_once)
+
+    async def test() -> None:
+        async with proxy(ConnectTimeoutMs=CONNECT_TIMEOUT_MS) as p:
+            for request_id in ("first", "second"):
+                client = await p.client()
+                client.send(x_call_id=request_id)
+                (await p.backends[0].requests.get()).reply()
+                assert (await client.reply()).status == 200
+                await asyncio.sleep(0.05)  # the connection may be used again
+            assert connected == (2 if held_up == "before use" else 1)
+
+    run(test())
+
+
 async def start_upload(p: Proxy, budget_ms: float = 20_000.0) -> Client:
     """An upload whose first server has taken a part of it."""
     client = await p.client()
