Review case 10: configurations in quick succession keep a drain from the proxy

In a tier of more than four proxies each move of discovery begins the stagger of the first call anew, so a proxy with a high number asks nobody while moves come within its stagger.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,74 +1,100 @@
-"""Long answers that many clients read slowly take the proxy over its memory limit."""
+"""New configurations in quick succession keep the proxy from hearing of a drain."""
 
 from __future__ import annotations
 
 import asyncio
-import os
-import signal
-import sys
 from pathlib import Path
 
-from harness import BROKEN, HELD, Backend, Proxy, Record, Registry, main, settings
+from harness import (
+    BROKEN,
+    HELD,
+    Backend,
+    Call,
+    Client,
+    CouldNotRun,
+    Proxy,
+    Record,
+    Registry,
+    main,
+    now_ms,
+    request,
+    settings,
+)
 
 FOLDER = Path(__file__).resolve().parent
-MEMORY_MB, SOCKETS = 64, 1024
-READERS = 320  # clients hold a third of the descriptors at most for requests: 341
-ANSWER_BYTES = 4 * 1024 * 1024  # answers of up to 32 MB occur
-SLOW_BYTES_PER_S = 32 * 1024
-BACKENDS, SPREAD_S, WATCH_S = 8, 16, 40.0
+PROXIES = 20  # of the tier; the one with the last number is started, the others are not needed
+CALL_S = 0.005  # that discovery takes for a call
+MOVES, MOVE_INTERVAL_S = 3, 2.6
+DRAIN_AFTER_S = 0.2  # from the first SIGHUP on
+OLD_ADDRESS_CLOSES_S = 1.5
+TOLD_MS = 6000.0  # after discovery had the change and could be reached
+GRACE_MS, SOCKET_SLACK_MS = 250.0, 50.0
+WATCH_S = 12.0  # from the drain on
+BUDGET_MS = 750
+CLIENTS = 4
+
+
+async def ask_steadily(client: int, address: str, record: Record) -> None:
+    connection, number = Client(address), 0
+    while True:
+        number += 1
+        call_id = f"card{client}-{number}"
+        status, _ = await connection.ask(request("card-answer", call_id, BUDGET_MS, route=number), 3.0)
+        record.line(f"{call_id} answered {status}")
+        await asyncio.sleep(0.03)
 
 
 async def case(folder: Path, record: Record, trouble: bool) -> int:
-    env = dict(os.environ)
-    children: list[asyncio.subprocess.Process] = []
-    pipe = asyncio.subprocess.PIPE
+    async def handle(call: Call) -> None:
+        await asyncio.sleep(0.01)
+        await call.reply(200, call.id.encode())
+
     registry = Registry(record)
-    proxy: Proxy | None = None
-    largest_mb = 0.0
-    killed = False
+    backends = [await Backend(f"s{number}", record, handle).open() for number in range(4)]
+    for backend in backends:
+        registry.put(backend)
+    door = await registry.open()
+    registry.delay_s = CALL_S
+    draining = backends[0]
+    proxy = Proxy(folder, registry, door.address, settings(Balancers=PROXIES, Me=PROXIES - 1))
+    tasks: list[asyncio.Task[None]] = []
     try:
-        for number in range(BACKENDS):
-            child = await asyncio.create_subprocess_exec(
-                sys.executable, str(FOLDER / "backend.py"), f"s{number}", str(ANSWER_BYTES),
-                stdin=pipe, stdout=pipe, env=env,
-            )  # fmt: skip
-            children.append(child)
-            assert child.stdout is not None
-            backend = Backend(f"s{number}", record)
-            backend.address = (await child.stdout.readline()).decode().strip()
-            registry.put(backend)
-        door = await registry.open()
-        proxy = await Proxy(folder, registry, door.address, settings(), MEMORY_MB, SOCKETS).start()
-        record.line(f"ready with {proxy.memory_mb():.1f} MB of {MEMORY_MB}")
-        pace = SLOW_BYTES_PER_S if trouble else 0
-        readers = await asyncio.create_subprocess_exec(
-            sys.executable, str(FOLDER / "readers.py"), proxy.listen, str(READERS), str(SPREAD_S), str(pace),
-            str(ANSWER_BYTES), stdin=pipe, stdout=pipe, env=env,
-        )  # fmt: skip
-        children.append(readers)
-        for _ in range(int(WATCH_S / 0.5)):
-            await asyncio.sleep(0.5)
-            memory_mb = proxy.memory_mb()
-            largest_mb = max(largest_mb, memory_mb)
-            record.line(f"{memory_mb:.1f} MB")
-            if memory_mb > MEMORY_MB:  # the platform kills it
-                record.line(f"over the limit of {MEMORY_MB} MB: killed")
-                proxy.signal(signal.SIGKILL)
-                killed = True
-                break
-        await asyncio.sleep(0.5)
-        assert readers.stdin is not None and readers.stdout is not None
-        readers.stdin.close()
-        record.line((await readers.stdout.read()).decode().strip())
-        record.line(f"at most {largest_mb:.1f} MB")
-        return BROKEN if killed else HELD
+        await proxy.start()
+        tasks += [
+            asyncio.create_task(ask_steadily(number, proxy.listen, record)) for number in range(CLIENTS)
+        ]
+        await asyncio.sleep(6.0)  # the watch is open
+        if not draining.calls:
+            raise CouldNotRun("nothing was sent to the backend that is to drain")
+        drain = asyncio.get_running_loop().create_future()
+
+        def begin_drain() -> None:
+            registry.put(draining, "leaving")
+            drain.set_result(now_ms())
+
+        asyncio.get_running_loop().call_later(DRAIN_AFTER_S, begin_drain)
+        for _ in range(MOVES if trouble else 0):
+            old, door = door, await registry.open()
+            record.line(f"SIGHUP: discovery moves to {door.address}")
+            proxy.move_discovery(door.address)
+            # The old address takes no new connection, and closes the open ones a little later.
+            tasks.append(asyncio.create_task(old.retire(OLD_ADDRESS_CLOSES_S)))
+            await asyncio.sleep(MOVE_INTERVAL_S)
+        drained_ms = await drain
+        await asyncio.sleep(WATCH_S - (now_ms() - drained_ms) / 1000)
     finally:
-        if proxy is not None:
-            await proxy.close()
-        for child in children:
-            if child.returncode is None:
-                child.kill()
-            await child.wait()
+        for task in tasks:
+            task.cancel()
+        await proxy.close()
+    latest_ms = TOLD_MS + GRACE_MS + SOCKET_SLACK_MS
+    after = [call.first_byte_ms - drained_ms for call in draining.calls if call.first_byte_ms > drained_ms]
+    too_late = [ms for ms in after if ms > latest_ms]
+    last = f", the last after {after[-1]:.0f} ms" if after else ""
+    record.line(
+        f"{len(after)} requests began at the draining backend{last}; "
+        f"{len(too_late)} of them later than {latest_ms:.0f} ms after discovery had the drain"
+    )
+    return BROKEN if too_late else HELD
 
 
 main(case, str(FOLDER))
