--- a/review/10/case.py
+++ b/review/10/case.py
@@ -88,6 +88,7 @@
             continue
         number += 1
         call_id = f"card{client}-{number}-{now_ms():.0f}"
+        record.line(f"{call_id} sent")
         status, _ = await connection.ask(request("customs", call_id, BUDGET_MS, route=number), 3.0)
         record.line(f"{call_id} answered {status}")
         await asyncio.sleep(0.03)
--- a/review/6/backend.py
+++ b/review/6/backend.py
@@ -1,16 +1,17 @@
 """A backend in a process of its own, which reads bodies of any length.
 
-Usage: backend.py UID. Prints its address, and ends with its standard input."""
+Usage: backend.py UID. Prints its address and what it runs, and ends with its standard input."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
 
-from harness import Headers, address_of, answer
+from harness import Headers, PrintedRecord, address_of, answer
 
 WORK_S = 0.02
 LAST_CHUNK = b"\r\n0\r\n\r\n"
+record = PrintedRecord()
 
 
 async def read_body(head: Headers, reader: asyncio.StreamReader) -> None:
@@ -30,6 +31,7 @@
         while True:
             head = Headers((await reader.readuntil(b"\r\n\r\n"))[:-4])
             await read_body(head, reader)
+            record.line(f"{sys.argv[1]} ran {head.get('x-call-id')}")
             await asyncio.sleep(WORK_S)
             writer.write(answer(200, head.get("x-call-id").encode()))
             await writer.drain()
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -51,6 +51,7 @@
     while now_ms() < until_ms:
         number += 1
         call_id, start_ms = f"card{client}-{number}", now_ms()
+        record.line(f"{call_id} sent")
         status, body = await connection.ask(request("card-answer", call_id, BUDGET_MS), WAIT_FOR_ANSWER_S)
         took_ms = now_ms() - start_ms
         late = took_ms > BUDGET_MS + GRACE_MS + SOCKET_SLACK_MS
@@ -98,11 +99,12 @@
         )  # fmt: skip
         children.append(uploads)
         results = await asyncio.gather(*asking)
-        if uploads.returncode is None:
-            uploads.kill()
-        assert uploads.stdout is not None
-        for line in (await uploads.stdout.read()).decode().splitlines():
-            record.line(line)
+        await proxy.close()
+        for child in children:
+            if child.returncode is None:
+                child.kill()
+            assert child.stdout is not None
+            record.merge((await child.stdout.read()).decode())
         answered, lost = (sum(values) for values in zip(*results, strict=True))
         record.line(f"{answered} answered in time, {lost} lost; own delay {own_delay.longest_ms:.0f} ms")
         if own_delay.longest_ms > MAX_OWN_DELAY_MS:
--- a/review/6/uploads.py
+++ b/review/6/uploads.py
@@ -7,14 +7,16 @@
 import asyncio
 import sys
 
-from harness import now_ms, read_message, split
+from harness import PrintedRecord, now_ms, read_message, split
 
 BODY_BYTES = 12 * 1024 * 1024
 BLOCK_BYTES = 64 * 1024  # written at once
+record = PrintedRecord()
 
 
 async def upload(number: int, chunk_bytes: int) -> None:
     start_ms = now_ms()
+    record.line(f"upload{number} begins")
     try:
         reader, writer = await asyncio.open_connection(*split(sys.argv[1]))
         writer.write(
@@ -26,12 +28,13 @@
             writer.write(block)
             await writer.drain()
         writer.write(b"0\r\n\r\n")
+        record.line(f"upload{number} sent whole")
         head, _ = await read_message(reader)
         ending = head.first
         writer.close()
     except (OSError, asyncio.IncompleteReadError) as error:
         ending = str(error)
-    print(f"upload{number}: {ending} after {now_ms() - start_ms:.0f} ms", flush=True)
+    record.line(f"upload{number}: {ending} after {now_ms() - start_ms:.0f} ms")
 
 
 async def main() -> None:
--- a/review/8/backend.py
+++ b/review/8/backend.py
@@ -1,22 +1,17 @@
 """A backend in a process of its own, which gives each request an answer of a given size.
 
-Usage: backend.py UID ANSWER_BYTES. Prints its address, and ends with its standard input."""
+Usage: backend.py UID ANSWER_BYTES. Prints its address and what it runs, and ends with its standard input."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
 
-from harness import Backend, Call
+from harness import Backend, Call, PrintedRecord
 
 BLOCK = b"x" * 16 * 1024
 
 
-class NoRecord:
-    def line(self, text: str) -> None:
-        """Nothing is recorded: the test's own process records what was seen."""
-
-
 async def main() -> None:
     size = int(sys.argv[2])
 
@@ -26,7 +21,7 @@
             call.writer.write(BLOCK)
             await call.writer.drain()
 
-    backend = await Backend(sys.argv[1], NoRecord(), handle).open()  # type: ignore[arg-type]
+    backend = await Backend(sys.argv[1], PrintedRecord(), handle).open()
     print(backend.address, flush=True)
     await asyncio.to_thread(sys.stdin.read)
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -59,7 +59,13 @@
         await asyncio.sleep(0.5)
         assert readers.stdin is not None and readers.stdout is not None
         readers.stdin.close()
-        record.line((await readers.stdout.read()).decode().strip())
+        await proxy.close()
+        record.merge((await readers.stdout.read()).decode())
+        for child in children:
+            if child.returncode is None:
+                child.kill()
+            assert child.stdout is not None
+            record.merge((await child.stdout.read()).decode())
         record.line(f"at most {largest_mb:.1f} MB")
         return BROKEN if killed else HELD
     finally:
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -49,6 +49,7 @@
         sock.setblocking(False)
         await loop.sock_connect(sock, split(address))
         await loop.sock_sendall(sock, request("card-answer/export", f"export{number}", BUDGET_MS))
+        record.line(f"export{number} sent")
         data, start_ms, last_ms, longest_ms, ending = bytearray(), now_ms(), now_ms(), 0.0, "ended"
         steps = 0
         while len(data.partition(b"\r\n\r\n")[2]) < ANSWER_BYTES:
--- a/review/harness-2/harness.py
+++ b/review/harness-2/harness.py
@@ -45,10 +45,25 @@
     def line(self, text: str) -> None:
         self.file.write(f"{now_ms() - self.start_ms:10.1f} {text}\n")
 
+    def merge(self, lines: str) -> None:
+        """Adds the lines that a `PrintedRecord` in another process has printed."""
+        for line in lines.splitlines(keepends=True):
+            at_ms, _, text = line.rstrip("\n").partition(" ")
+            if not line.endswith("\n"):
+                continue  # cut off by the end of its process
+            self.file.write(f"{float(at_ms) - self.start_ms:10.1f} {text}\n")
+
     def close(self) -> None:
         self.file.close()
 
 
+class PrintedRecord:
+    """The record of a process beside the test's: each line is printed, behind its time."""
+
+    def line(self, text: str) -> None:
+        print(f"{now_ms():.1f} {text}", flush=True)
+
+
 class Headers:
     """The head of a message, read from a stream."""
 
@@ -100,7 +115,7 @@
 class Backend:
     """A backend of the protocol page. `handler` answers each request, by default 200 with its id."""
 
-    def __init__(self, uid: str, record: Record, handler: Handler | None = None) -> None:
+    def __init__(self, uid: str, record: Record | PrintedRecord, handler: Handler | None = None) -> None:
         self.uid, self.record, self.handler = uid, record, handler
         self.calls: list[Call] = []
         self.address = ""
@@ -421,7 +436,7 @@
 
     try:
         verdict = asyncio.run(limited())
-    except (CouldNotRun, TimeoutError, OSError) as error:
+    except Exception as error:  # a fault of the test must not look like a broken rule
         record.line(f"the case could not run: {error!r}")
         verdict = COULD_NOT_RUN
     finally:
