--- a/flintlatch/http/front.py
+++ b/flintlatch/http/front.py
@@ -17,7 +17,7 @@
 from flintlatch.http.framing import BodyKind, HttpError
 from flintlatch.http.head import HeadLimits, RequestHead, find_head_end, read_request_head
 from flintlatch.http.rules import RoutingRules
-from flintlatch.http.sockets import MAX_READ_BYTES, WRITE_HIGH_WATER_BYTES, limit_socket_buffers, write_body
+from flintlatch.http.sockets import MAX_READ_BYTES, WRITE_HIGH_WATER_BYTES, limit_socket_buffers
 from flintlatch.net.client import READY_PATH, REASON_PHRASES, Client
 from flintlatch.net.clock import now_ms
 from flintlatch.net.connections import ConnectionState
@@ -25,6 +25,7 @@
 from flintlatch.net.engine import Answer
 from flintlatch.net.frontend import Frontend
 from flintlatch.net.relay import Refusal, RelayEngine
+from flintlatch.net.sending import write_body
 
 if TYPE_CHECKING:
     from flintlatch.net.request import Reader
@@ -166,10 +167,10 @@
         if reading != self.reading and not self.half_closed:
             self.reading = reading
             if reading:
-                self.transport.resume_reading()
+                self.resume_reading()
                 self.reading_since_ms = now_ms()
             else:
-                self.transport.pause_reading()
+                self.pause_reading()
 
     def _consume_buffer(self) -> bool:
         """Processes the next part of the buffer; false if nothing can be processed now."""
--- a/flintlatch/http/node.py
+++ b/flintlatch/http/node.py
@@ -11,10 +11,11 @@
 from flintlatch.http.fields import end_to_end
 from flintlatch.http.framing import BodyKind, HttpError, field_values
 from flintlatch.http.head import HeadLimits, ResponseHead, find_head_end, read_response_head
-from flintlatch.http.sockets import WRITE_HIGH_WATER_BYTES, limit_socket_buffers, write_body
+from flintlatch.http.sockets import WRITE_HIGH_WATER_BYTES, limit_socket_buffers
 from flintlatch.net.backends import Attempt, Backend, Backends, Connection
 from flintlatch.net.clock import now_ms
 from flintlatch.net.relay import RelayAttempt
+from flintlatch.net.sending import write_body
 
 MAX_INTERIM_RESPONSES = 8  # 1xx responses before the final one
 INTERIM_INTERVAL_S = 1.0  # one more per interval, because a long call may report its progress
@@ -126,9 +127,9 @@
         if self.transport is not None and paused is not self.reading_paused:
             self.reading_paused = paused
             if paused:
-                self.transport.pause_reading()
+                self.pause_reading()
             else:
-                self.transport.resume_reading()
+                self.resume_reading()
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None:
@@ -194,6 +195,7 @@
             response.keep_alive
             and self.request_sent
             and not bytes_follow
+            and not (self.receiver is not None and self.receiver.pending_bytes)
             and response.framing.kind is not BodyKind.UNTIL_CLOSE
         )
         exchange.finish(now_ms() / 1000, self, body.trailers)
--- a/flintlatch/http/sockets.py
+++ b/flintlatch/http/sockets.py
@@ -5,8 +5,6 @@
 import asyncio
 import socket
 
-from flintlatch.exchange import Piece
-
 RECEIVE_BUFFER_BYTES = 128 * 1024  # SO_RCVBUF; the kernel doubles it (socket(7))
 MAX_READ_BYTES = 2 * RECEIVE_BUFFER_BYTES  # upper bound of the bytes that one read returns
 # SO_SNDBUF, doubled too. Without it, the kernel buffers up to 4 MB for a slow client.
@@ -16,17 +14,6 @@
 RESPONSE_BUFFER_BYTES = WRITE_HIGH_WATER_BYTES + 2 * MAX_READ_BYTES
 
 
-def write_body(transport: asyncio.Transport, pieces: list[Piece], size: int, chunked: bool) -> None:
-    """Writes pieces of a body, as one chunk (RFC 9112 section 7.1) if `chunked`. `size`: their total, above
-    0."""
-    if chunked:
-        transport.writelines([b"%x\r\n" % size, *pieces, b"\r\n"])
-    elif len(pieces) == 1:
-        transport.write(pieces[0])
-    else:
-        transport.writelines(pieces)
-
-
 def limit_socket_buffers(transport: asyncio.BaseTransport, send: bool) -> None:
     """Limits the kernel's receive buffer, and with it the size of one read: more bytes wait at the peer.
     `send`: limits the send buffer too. It is needed for clients only; nodes are few and read their input."""
--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -9,9 +9,11 @@
 
 from flintlatch.api import Result, ServerState
 from flintlatch.net.clock import now_ms
-from flintlatch.net.guard import CallbackGuard, bugs
-from flintlatch.net.http1 import Http1Connection, Response, has_unread_data
+from flintlatch.net.guard import bugs
+from flintlatch.net.http1 import Http1Connection, Response
 from flintlatch.net.listing import Target
+from flintlatch.net.receiving import Receiver, has_unread_data
+from flintlatch.net.turns import TurnSchedule
 
 # Fraction of a backend's idle limit after which the proxy closes an idle connection. A connection reused just
 # as the backend closes it would end in a reset.
@@ -194,8 +196,14 @@
     connection_factory: Callable[[Backends, Backend], Connection] = Connection
 
     def __init__(
-        self, connect_timeout_ms: float, conn_idle_ms: float, max_connections: int, source_host: str = ""
+        self,
+        connect_timeout_ms: float,
+        conn_idle_ms: float,
+        max_connections: int,
+        source_host: str = "",
+        turns: TurnSchedule | None = None,
     ) -> None:
+        """`turns`: shared with the clients' connections."""
         self.local_address = (source_host, 0) if source_host else None  # source address of the connections
         self.connect_timeout_s, self.idle_timeout_ms = (
             connect_timeout_ms / 1000,
@@ -206,6 +214,7 @@
         self.connections: set[Connection] = set()
         self.backends: dict[str, Backend] = {}
         self.loop = asyncio.get_running_loop()
+        self.turns = turns or TurnSchedule(self.loop.call_soon)
         self.sweep_timer = self.loop.call_later(
             self.idle_timeout_ms / 1000 / SWEEPS_PER_IDLE_TIMEOUT, self._sweep
         )
@@ -286,7 +295,10 @@
         try:
             async with asyncio.timeout(self.connect_timeout_s) as connection.connect_timeout:
                 await self.loop.create_connection(
-                    lambda: CallbackGuard(connection), target.host, target.port, local_addr=self.local_address
+                    lambda: Receiver(connection, self.turns),
+                    target.host,
+                    target.port,
+                    local_addr=self.local_address,
                 )
         except OSError as error:  # refused, unreachable, no descriptor left, or timed out
             if connection.attempt is not None and connection.transport is None:
--- a/flintlatch/net/client.py
+++ b/flintlatch/net/client.py
@@ -10,26 +10,18 @@
 import httptools
 
 from flintlatch.net.clock import now_ms
-from flintlatch.net.connections import ClientConnections, ConnectionState, OutputProgress
+from flintlatch.net.connections import ClientConnections, ConnectionState
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Answer, Engine
 from flintlatch.net.guard import bugs
-from flintlatch.net.http1 import (
-    MAX_BODY,
-    MAX_HEAD,
-    Headers,
-    has_unread_data,
-    ms_since_last_data,
-    peer_closed,
-    unsent_bytes,
-)
+from flintlatch.net.http1 import MAX_BODY, MAX_FRAMED_FACTOR, MAX_HEAD, Headers
+from flintlatch.net.receiving import StreamConnection, has_unread_data, ms_since_last_data, peer_closed
 from flintlatch.net.request import Message, Reader, RequestError, check_framing
+from flintlatch.net.sending import OutputProgress, unsent_bytes
 
 MAX_PIPELINED = 2  # requests read ahead on a connection before reading is paused
 # Parsed before the requests in it are handled, so that hundreds of pipelined requests are not parsed at once.
 PARSE_CHUNK_BYTES = 4096
-# One request as sent: the chunked framing of a body may take three times its size.
-MAX_MESSAGE_BYTES = MAX_HEAD + 4 * MAX_BODY
 MAX_CONSECUTIVE_ERRORS = 8  # rejected requests in a row, after which the connection is closed
 BODY_IDLE_TIMEOUT_S = 0.75  # without a byte of a body, once the time for a head is over
 MAX_DISCARDED_BYTES = 1024 * 1024  # read and dropped behind the last request
@@ -53,7 +45,7 @@
     def on_client_lost(self, client: Client) -> None: ...
 
 
-class Client(asyncio.Protocol):
+class Client(StreamConnection):
     """One client connection. Its requests are answered one after another, each exactly once.
 
     Its state is that of `ClientConnections`; `_update_state` derives it from what is read and owed."""
@@ -150,7 +142,7 @@
             self._discard(len(data))
             return
         self.unparsed = self.unparsed + data if self.unparsed else data
-        self.last_data_ms = now_ms()
+        self.last_data_ms = self.receiver.received_ms if self.receiver is not None else now_ms()
         if self.queued_since_ms is not None:
             longest_wait_ms = self.last_data_ms - self.queued_since_ms
             self.wait_in_kernel_ms = min(longest_wait_ms, ms_since_last_data(self.transport))
@@ -165,7 +157,7 @@
         if self.discarded_bytes <= MAX_DISCARDED_BYTES:
             return
         if self.state is ConnectionState.FINISHING or unsent_bytes(self.transport):
-            self._pause_reading()
+            self.pause_reading()
         else:
             self.abort()
 
@@ -229,17 +221,17 @@
         if self.closing:
             return
         if len(self.queue) >= MAX_PIPELINED or len(self.unparsed) > PARSE_CHUNK_BYTES:
-            self._pause_reading()
+            self.pause_reading()
         else:
-            self._resume_reading()
+            self.resume_reading()
 
-    def _pause_reading(self) -> None:
+    def pause_reading(self) -> None:
         """Stops reading. The end of the connection is not reported then, so `gone` is asked regularly."""
-        self.transport.pause_reading()
+        super().pause_reading()
         self.connections.paused.add(self)
 
-    def _resume_reading(self) -> None:
-        self.transport.resume_reading()
+    def resume_reading(self) -> None:
+        super().resume_reading()
         if self in self.connections.paused:
             self.connections.paused.discard(self)
             # What the client has sent meanwhile was not read: its time to go on starts now.
@@ -266,9 +258,13 @@
             self._reject(400)
         if not self._head_done and self._message_bytes > MAX_HEAD:
             self._reject(400)
-        elif self._message_bytes > MAX_MESSAGE_BYTES:
+        elif self._message_bytes > self.message_limit():
             self._reject(413)
 
+    def message_limit(self) -> float:
+        """Bytes that the incomplete request may have taken: its head, trailers and framing, and its body."""
+        return MAX_HEAD + MAX_FRAMED_FACTOR * len(self._body)
+
     def _reject(self, status: int) -> None:
         """Queues an error response and stops reading, because the boundaries of further requests are
         unknown."""
@@ -326,7 +322,7 @@
             return
         assert self.parser is not None
         method, keep = self.parser.get_method(), self.parser.should_keep_alive()
-        arrived_ms = now_ms() - self.wait_in_kernel_ms
+        arrived_ms = self.last_data_ms - self.wait_in_kernel_ms
         self.queue.append(Message(method, self._target, self._headers, bytes(self._body), keep, arrived_ms))
         self.request_started = False
         self._reset()
@@ -403,7 +399,7 @@
         self.connections.move(self, ConnectionState.LINGERING)
         self.unparsed = b""
         self.queue.clear()
-        self.transport.resume_reading()
         self.connections.paused.discard(self)
+        self.resume_reading()
         self.transport.write_eof()
         self.progress = OutputProgress(unsent_bytes(self.transport))
--- a/flintlatch/net/connections.py
+++ b/flintlatch/net/connections.py
@@ -25,7 +25,8 @@
 from flintlatch.net.clock import now_ms
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.guard import bugs
-from flintlatch.net.http1 import has_unread_data, unsent_bytes
+from flintlatch.net.receiving import has_unread_data
+from flintlatch.net.sending import OutputProgress, unsent_bytes
 
 # For a head, from connecting or from its first byte. A well-behaved client may take 2 s, and an incomplete
 # request must be ended after 3 s. A body may take longer as long as bytes arrive.
@@ -63,19 +64,6 @@
     """A connection was to enter a state that can't follow its present one."""
 
 
-class OutputProgress:
-    """Since when the peer has taken nothing of the bytes that are written to it."""
-
-    def __init__(self, unsent: int) -> None:
-        self.unsent, self.since_ms = unsent, now_ms()
-
-    def stalled_s(self, unsent: int) -> float:
-        """Seconds without progress, if `unsent` bytes are left now."""
-        if unsent != self.unsent:
-            self.unsent, self.since_ms = unsent, now_ms()
-        return (now_ms() - self.since_ms) / 1000
-
-
 class ManagedConnection(Protocol):
     """What the groups have to know of a client connection."""
 
--- a/flintlatch/net/discovery.py
+++ b/flintlatch/net/discovery.py
@@ -10,6 +10,8 @@
 
 from flintlatch.net.http1 import Http1Connection, Response, split_address
 from flintlatch.net.listing import Listing, read_incomplete_listing, read_listing, restricted
+from flintlatch.net.receiving import Receiver
+from flintlatch.net.turns import TurnSchedule
 from flintlatch.settings import Malformed, SocketSettings
 
 # A change counts as known to the proxy PROPAGATION_LIMIT_MS after the service had it, whether or not it
@@ -145,6 +147,7 @@
         self.connection: ListConnection | None = None
         self.resynced_at = -inf  # loop time of the last poll that followed an outdated revision at once
         self.task: asyncio.Task[None] | None = None
+        self.turns: TurnSchedule | None = None
 
     def watch(self) -> None:
         if self.task is None or self.task.done():
@@ -248,7 +251,12 @@
             self._disconnect()
             host, port = split_address(self.address)
             local_address = (self.wire.source_host, 0) if self.wire.source_host else None
-            _, self.connection = await asyncio.get_running_loop().create_connection(
-                lambda: ListConnection(self._apply_incomplete), host, port, local_addr=local_address
+            connection = ListConnection(self._apply_incomplete)
+            loop = asyncio.get_running_loop()
+            turns = self.turns or TurnSchedule(loop.call_soon)
+            self.turns = turns
+            await loop.create_connection(
+                lambda: Receiver(connection, turns), host, port, local_addr=local_address
             )
+            self.connection = connection
         return self.connection
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -45,6 +45,7 @@
 from flintlatch.net.listing import Listing, Target
 from flintlatch.net.log import log, request_log
 from flintlatch.net.starts import ServerStarts
+from flintlatch.net.turns import TurnSchedule
 from flintlatch.settings import SocketSettings
 
 MODULE_RESTART_DELAY_S = 0.1  # between the failure of a decision module and the first step of the next
@@ -102,9 +103,11 @@
 
     def __init__(self, settings: Settings, wire: SocketSettings, seed: int, max_connections: int) -> None:
         self.settings, self.seed = settings, seed
+        self.loop = asyncio.get_running_loop()
+        self.turns = TurnSchedule(self.loop.call_soon)
         self.balancer = Balancer(settings, seed)
         self.backends = Backends(
-            wire.connect_timeout_ms, wire.conn_idle_ms, max_connections, wire.source_host
+            wire.connect_timeout_ms, wire.conn_idle_ms, max_connections, wire.source_host, self.turns
         )
         self.probe_timeout_ms = wire.connect_timeout_ms
         self.discovery: Discovery | None = None
@@ -132,7 +135,6 @@
         self.request_observer: Callable[[PendingRequest], None] | None = None
         # Called with class and status of each final answer.
         self.on_final_status: Callable[[int, int], None] = lambda cls, status: None
-        self.loop = asyncio.get_running_loop()
 
     # Events from the sockets and the list service
 
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -14,9 +14,9 @@
 from flintlatch.net.connections import ClientConnections, ConnectionState
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Engine
-from flintlatch.net.guard import CallbackGuard
 from flintlatch.net.listener import open_listener
 from flintlatch.net.log import log
+from flintlatch.net.receiving import Receiver
 from flintlatch.net.request import Reader
 
 ACCEPTS_PER_TURN = 16  # so that requests on open connections need not wait for a flood of new connections
@@ -170,7 +170,8 @@
             self.on_connection_count(self.connection_count)
         client = self.make_client()
         client.queued_since_ms = self.accept_delayed_since_ms
-        task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: CallbackGuard(client), sock))
+        turns = self.engine.turns
+        task = self.loop.create_task(self.loop.connect_accepted_socket(lambda: Receiver(client, turns), sock))
         self.opening_tasks.add(cast("asyncio.Task[object]", task))
         task.add_done_callback(self._on_opened)
         # The descriptor of an evicted client is freed only after this loop turn.
--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -4,26 +4,22 @@
 from __future__ import annotations
 
 import asyncio
-import select
-import socket
-import struct
-from math import inf
 from typing import NamedTuple, cast
 
 import httptools
 
 from flintlatch.net.guard import bugs
-from flintlatch.net.polling import has_event, readable_bytes, unacknowledged_bytes
+from flintlatch.net.receiving import StreamConnection
 
 MAX_BODY = 64 * 1024  # bytes
 MAX_HEAD = 16 * 1024  # bytes
+# Size of a body as it is sent over its size: a chunk of one byte takes six bytes, RFC 9112 section 7.1. The
+# rest is for zeros before the size, extensions and trailers.
+MAX_FRAMED_FACTOR = 8
 Headers = list[tuple[bytes, bytes]]  # names in lower case
 
 # 1xx responses before the final one; a server that sends more only delays the client.
 MAX_INTERIM_RESPONSES = 8
-# The member tcpi_last_data_recv of struct tcp_info, linux/tcp.h.
-LAST_DATA_RECEIVED, LAST_DATA_RECEIVED_AT = struct.Struct("=I"), 52
-TCP_INFO_BYTES = 104
 BODYLESS_STATUSES = frozenset((204, 205, 304))  # responses without a body, which need no Content-Length
 
 
@@ -35,51 +31,6 @@
     return host.strip("[]"), int(port)
 
 
-def has_poll_event(transport: asyncio.Transport, events: int) -> bool:
-    """Whether the kernel reports any of these poll events, or an error, that the loop has not handled yet.
-    The connection must be open."""
-    return has_event(transport.get_extra_info("socket").fileno(), events)
-
-
-def has_unread_data(transport: asyncio.Transport) -> bool:
-    """Whether the kernel holds bytes or the end of this connection that the loop has not read yet."""
-    # The descriptor of a closing transport may already belong to another connection.
-    return not transport.is_closing() and has_poll_event(transport, select.POLLIN | select.POLLRDHUP)
-
-
-def peer_closed(transport: asyncio.Transport) -> bool:
-    """Whether the peer has closed its sending side or reset the connection, even if unread bytes precede
-    that."""
-    return transport.is_closing() or has_poll_event(transport, select.POLLRDHUP)
-
-
-def unsent_bytes(transport: asyncio.Transport) -> int:
-    """Bytes written to this connection that the peer's machine does not have yet, in the process and in the
-    kernel. Of a transport that is closing only the process's are known."""
-    in_process = transport.get_write_buffer_size()
-    if transport.is_closing():
-        return in_process
-    return in_process + unacknowledged_bytes(transport.get_extra_info("socket").fileno())
-
-
-def unread_bytes(transport: asyncio.Transport) -> int:
-    """Bytes that the kernel has received on this connection and the loop has not read yet."""
-    if transport.is_closing():
-        return 0
-    return readable_bytes(transport.get_extra_info("socket").fileno())
-
-
-def ms_since_last_data(transport: asyncio.Transport) -> float:
-    """Milliseconds since the kernel received the last bytes on this connection, tcp(7); infinite if the
-    kernel does not tell."""
-    try:
-        connection = transport.get_extra_info("socket")
-        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-        return float(LAST_DATA_RECEIVED.unpack_from(info, LAST_DATA_RECEIVED_AT)[0])
-    except (OSError, struct.error):
-        return inf
-
-
 class Response(NamedTuple):
     status: int
     headers: Headers
@@ -89,17 +40,18 @@
         return next((value for key, value in self.headers if key == name), None)
 
 
-class Http1Connection(asyncio.Protocol):
+class Http1Connection(StreamConnection):
     """A connection to a server that carries one exchange at a time.
 
     Subclasses override the `on_` methods below. Either `on_response` or `on_broken` ends an exchange, once.
     """
 
+    reads_after_loss = True  # a response that arrived whole counts, whatever became of the connection
+
     def __init__(self, max_body_bytes: int = MAX_BODY) -> None:
         self.transport: asyncio.Transport | None = None
         self.max_body_bytes = max_body_bytes
-        # One response as sent: the chunked framing of a body may take three times its size.
-        self.max_message_bytes = MAX_HEAD + 4 * max_body_bytes
+        self.max_message_bytes = MAX_HEAD + MAX_FRAMED_FACTOR * max_body_bytes  # one response as sent
         self._parser: httptools.HttpResponseParser | None = None
         self.awaiting_response = False  # a request is sent and its response is not complete
         self.reusable = True  # for another exchange
@@ -113,6 +65,9 @@
         """The connection failed; the exchange in progress, if any, gets no response."""
         raise NotImplementedError
 
+    def on_parsed(self) -> None:
+        """A part of the response was parsed; `on_body` was called for each piece of the body in it."""
+
     def on_written(self) -> None:
         """The kernel has accepted all bytes of the request."""
 
@@ -175,6 +130,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._keep_alive = False
             self._malformed = not self._complete
+        self.on_parsed()
         if self._complete:
             self._finish()
         elif self._malformed or self._message_bytes > (
@@ -185,7 +141,9 @@
     def _finish(self) -> None:
         # After a response that came before the whole request was written, the rest of that request must not
         # be followed by another one.
-        self.awaiting_response, self.reusable = False, self._keep_alive and not self.write_incomplete
+        more_follows = self.receiver is not None and self.receiver.pending_bytes > 0
+        self.awaiting_response = False
+        self.reusable = self._keep_alive and not self.write_incomplete and not more_follows
         if not self.reusable and self.transport is not None:
             self.transport.abort()
         self.on_response(Response(self._status, self._headers, bytes(self._body)))
--- /dev/null
+++ b/flintlatch/net/receiving.py
@@ -0,0 +1,223 @@
+"""Receives the bytes of one connection and hands them on in slices, within the turns of the event loop.
+
+`Receiver` is the protocol object of a transport. It reads no more than its connection has room for, and turns
+an exception of the connection's callbacks, which the event loop would only log, into an outcome.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+import struct
+from collections.abc import Callable
+from math import inf
+from typing import cast
+
+from flintlatch.net.clock import now_ms
+from flintlatch.net.guard import bugs
+from flintlatch.net.polling import has_event, readable_bytes
+from flintlatch.net.turns import MAX_READ_BYTES, TurnSchedule
+
+SLICE_BYTES = 16 * 1024  # handed to a connection at once
+MIN_READ_BYTES = 4 * 1024  # whatever room is left: a connection without room pauses reading
+# The member tcpi_last_data_recv of struct tcp_info, linux/tcp.h.
+LAST_DATA_RECEIVED, LAST_DATA_RECEIVED_AT = struct.Struct("=I"), 52
+TCP_INFO_BYTES = 104
+
+
+class StreamConnection(asyncio.Protocol):
+    """A connection that gets its bytes from a `Receiver`."""
+
+    # Set before `connection_made`; None where a transport hands over the bytes itself.
+    receiver: Receiver | None = None
+    # Whether bytes that were received before the connection was lost still count.
+    reads_after_loss = False
+
+    def receive_limit(self) -> int:
+        """Bytes that the next read may bring."""
+        return MAX_READ_BYTES
+
+    def on_callback_error(self) -> None:
+        """A callback has raised: gives what the connection works for an outcome, in any state."""
+        raise NotImplementedError
+
+    def pause_reading(self) -> None:
+        """Receives nothing more; bytes that are read but not handed on are kept."""
+        if self.receiver is not None:
+            self.receiver.pause()
+
+    def resume_reading(self) -> None:
+        if self.receiver is not None:
+            self.receiver.resume()
+
+
+class Receiver(asyncio.BufferedProtocol):
+    """The protocol object of one transport, which passes its callbacks on to a connection."""
+
+    def __init__(self, connection: StreamConnection, turns: TurnSchedule) -> None:
+        self.connection, self.turns = connection, turns
+        self.transport: asyncio.Transport | None = None
+        self.received_ms = 0.0  # when the last bytes were read from the socket
+        self._pending, self._position = b"", 0  # read from the socket; handed on up to this position
+        self._paused = False  # by the connection
+        self._reading = True  # whether the transport reads
+        self._handling = self._ended = False
+
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes that were read from the socket and not handed on yet."""
+        return len(self._pending) - self._position
+
+    # Callbacks of the transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.connection.receiver = self
+        self._call("connection_made", lambda: self.connection.connection_made(transport))
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        limit = max(MIN_READ_BYTES, min(self.connection.receive_limit(), MAX_READ_BYTES))
+        return self.turns.read_buffer[:limit]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        data = bytes(self.turns.read_buffer[:nbytes])
+        self._pending = self._pending[self._position :] + data if self.pending_bytes else data
+        self._position = 0
+        self.received_ms = now_ms()
+        if not self._paused:
+            self.turns.submit(self)
+        self._update_reading()
+
+    def eof_received(self) -> bool | None:
+        self._ended = True
+        return bool(self._call("eof_received", self.connection.eof_received))
+
+    def pause_writing(self) -> None:
+        self._call("pause_writing", self.connection.pause_writing)
+
+    def resume_writing(self) -> None:
+        self._call("resume_writing", self.connection.resume_writing)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._ended = True
+        self.turns.discard(self)
+        if self.connection.reads_after_loss and not self._handling:
+            while self.pending_bytes:
+                self._hand_on_slice()
+        self._drop_pending()
+        self._call("connection_lost", lambda: self.connection.connection_lost(exc))
+        # The connection refers back to this object; only the garbage collector would free the cycle.
+        self.connection.receiver = self.transport = None
+
+    # Slices
+
+    def handle_slice(self) -> bool:
+        if self.transport is None or self.transport.is_closing():
+            self._drop_pending()
+        if not self.pending_bytes or self._paused:
+            return False
+        self._hand_on_slice()
+        self._update_reading()
+        return self.pending_bytes > 0 and not self._paused
+
+    def _hand_on_slice(self) -> None:
+        data = self._pending[self._position : self._position + SLICE_BYTES]
+        self._position += len(data)
+        if not self.pending_bytes:
+            self._drop_pending()
+        self._handling = True
+        try:
+            self._call("data_received", lambda: self.connection.data_received(data))
+        finally:
+            self._handling = False
+
+    def _drop_pending(self) -> None:
+        self._pending, self._position = b"", 0
+
+    # Called by the connection
+
+    def pause(self) -> None:
+        self._paused = True
+        self._update_reading()
+
+    def resume(self) -> None:
+        self._paused = False
+        if self.pending_bytes and not self._handling:
+            self.turns.enqueue(self)
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        reading = not self._paused and not self.pending_bytes
+        transport = self.transport
+        if reading is self._reading or transport is None or transport.is_closing() or self._ended:
+            return
+        self._reading = reading
+        if reading:
+            transport.resume_reading()
+        else:
+            transport.pause_reading()
+
+    def _call(self, name: str, callback: Callable[[], object]) -> object:
+        try:
+            return callback()
+        except Exception as error:
+            self._fail(name, error)
+            return None
+
+    def _fail(self, callback: str, error: Exception) -> None:
+        where = f"{type(self.connection).__name__}.{callback}"
+        bugs.report(where, error)
+        try:
+            self.connection.on_callback_error()
+        except Exception as second_error:
+            bugs.report(f"{where}, the end of its connection", second_error)
+            if self.transport is not None:
+                self.transport.abort()
+
+
+# What is known of the input of a transport
+
+
+def pending_bytes(transport: asyncio.Transport) -> int:
+    """Bytes that its receiver has read and not handed on yet."""
+    protocol = transport.get_protocol()
+    return protocol.pending_bytes if isinstance(protocol, Receiver) else 0
+
+
+def has_poll_event(transport: asyncio.Transport, events: int) -> bool:
+    """Whether the kernel reports any of these poll events, or an error, that the loop has not handled yet.
+    The connection must be open."""
+    return has_event(transport.get_extra_info("socket").fileno(), events)
+
+
+def has_unread_data(transport: asyncio.Transport) -> bool:
+    """Whether bytes or the end of this connection have arrived that it has not got yet."""
+    # The descriptor of a closing transport may already belong to another connection.
+    if transport.is_closing():
+        return False
+    return pending_bytes(transport) > 0 or has_poll_event(transport, select.POLLIN | select.POLLRDHUP)
+
+
+def peer_closed(transport: asyncio.Transport) -> bool:
+    """Whether the peer has closed its sending side or reset the connection, even if unread bytes precede
+    that."""
+    return transport.is_closing() or has_poll_event(transport, select.POLLRDHUP)
+
+
+def unread_bytes(transport: asyncio.Transport) -> int:
+    """Bytes that have arrived on this connection and that it has not got yet."""
+    if transport.is_closing():
+        return 0
+    return pending_bytes(transport) + readable_bytes(transport.get_extra_info("socket").fileno())
+
+
+def ms_since_last_data(transport: asyncio.Transport) -> float:
+    """Milliseconds since the kernel received the last bytes on this connection, tcp(7); infinite if the
+    kernel does not tell."""
+    try:
+        connection = transport.get_extra_info("socket")
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        return float(LAST_DATA_RECEIVED.unpack_from(info, LAST_DATA_RECEIVED_AT)[0])
+    except (OSError, struct.error):
+        return inf
--- a/flintlatch/ops/admin.py
+++ b/flintlatch/ops/admin.py
@@ -10,11 +10,12 @@
 import httptools
 
 from flintlatch.net.client import REASON_PHRASES
-from flintlatch.net.connections import OutputProgress, linger_expiry
-from flintlatch.net.guard import CallbackGuard
-from flintlatch.net.http1 import unsent_bytes
+from flintlatch.net.connections import linger_expiry
 from flintlatch.net.listener import open_listener
+from flintlatch.net.receiving import Receiver, StreamConnection
+from flintlatch.net.sending import OutputProgress, unsent_bytes
 from flintlatch.net.transient import retry_transient
+from flintlatch.net.turns import TurnSchedule
 from flintlatch.ops.calls import Call, CallError, read_call
 
 MAX_CONNECTIONS = 12  # at once; from the descriptors reserved for the process itself
@@ -32,7 +33,7 @@
     def stop_drain(self) -> None: ...
 
 
-class AdminConnection(asyncio.Protocol):
+class AdminConnection(StreamConnection):
     """A connection to the admin address, which carries one call."""
 
     def __init__(self, admin: AdminServer) -> None:
@@ -113,6 +114,7 @@
         self.actions, self.listener = actions, listener
         self.connections: dict[AdminConnection, None] = {}  # oldest first
         self.loop = asyncio.get_running_loop()
+        self.turns = TurnSchedule(self.loop.call_soon)
         self.server: asyncio.Server | None = None
 
     @classmethod
@@ -120,7 +122,7 @@
         """Listens at `host:port`. Raises OSError if the address is not available."""
         admin = cls(actions, retry_transient(lambda: open_listener(address)))
         admin.server = await admin.loop.create_server(
-            lambda: CallbackGuard(AdminConnection(admin)), sock=admin.listener
+            lambda: Receiver(AdminConnection(admin), admin.turns), sock=admin.listener
         )
         return admin
 
--- a/flintlatch/platform/front.py
+++ b/flintlatch/platform/front.py
@@ -15,8 +15,10 @@
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Answer
 from flintlatch.net.frontend import Frontend
-from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, ms_since_last_data, unread_bytes
+from flintlatch.net.http1 import MAX_BODY, MAX_HEAD
+from flintlatch.net.receiving import ms_since_last_data, unread_bytes
 from flintlatch.net.request import Message, Reader, RequestError, check_framing
+from flintlatch.net.sending import write_body
 from flintlatch.platform.engine import ForwardedRequest, PlatformEngine
 from flintlatch.platform.limits import (
     CLIENT_SEND_BUFFER_BYTES,
@@ -48,6 +50,7 @@
         self.incoming: IncomingBody | None = None
         self.response_chunked = False  # whether the response being sent is chunked
         self.processing = False
+        self.upload_pieces: list[bytes] = []  # parsed, and not handed to the exchange yet
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -92,10 +95,14 @@
             return 0  # earlier requests of the connection are answered first
         return super().parse_limit()
 
-    def _parse(self, chunk: bytes) -> None:
+    def message_limit(self) -> float:
         if self.incoming is not None and self.incoming.exchange is not None:
-            self._message_bytes = 0  # MAX_MESSAGE_BYTES does not apply; EXCHANGE_LIMITS does
+            return inf  # its limits are those of EXCHANGE_LIMITS
+        return super().message_limit()
+
+    def _parse(self, chunk: bytes) -> None:
         super()._parse(chunk)
+        self._hand_on_upload()
         self._start_upload()
         if self.exchange is not None:
             self.exchange.notify_node()
@@ -123,8 +130,16 @@
         if incoming.exchange is None:
             self._body += body  # exceeds the limit of a short body by at most one parsed chunk
             return
+        self.upload_pieces.append(body)
+
+    def _hand_on_upload(self) -> None:
+        """Hands all pieces that were parsed on at once: the cost of a piece does not depend on its size."""
+        pieces, self.upload_pieces = self.upload_pieces, []
+        exchange = self.incoming.exchange if self.incoming is not None else None
+        if not pieces or self.closing or exchange is None:
+            return
         try:
-            incoming.exchange.receive_body(now_ms() / 1000, [body])
+            exchange.receive_body(now_ms() / 1000, [b"".join(pieces)])
         except BodyTooLarge:
             self._reject(413)
 
@@ -132,10 +147,14 @@
         if self.closing or self.incoming is None:
             return
         exchange = self.incoming.exchange
-        self.incoming = None
         if exchange is None:
+            self.incoming = None
             super().on_message_complete()
             return
+        self._hand_on_upload()
+        if self.closing:
+            return
+        self.incoming = None
         self.request_started = False
         self._reset()
         exchange.receive_end(now_ms() / 1000)
@@ -248,7 +267,7 @@
         return self.keep_alive
 
     def pieces(self, pieces: list[Piece], size: int) -> None:
-        self.transport.writelines([b"%x\r\n" % size, *pieces, b"\r\n"] if self.response_chunked else pieces)
+        write_body(self.transport, pieces, size, self.response_chunked)
 
     def end(self, trailers: Fields) -> None:
         if self.response_chunked:
@@ -281,11 +300,11 @@
         since_ms = ms_since_last_data(self.transport)
         return min(since_ms, longest_ms) / 1000 if since_ms < inf else 0.0
 
-    def _resume_reading(self) -> None:
+    def resume_reading(self) -> None:
         """The end of an upload may have arrived while it was not read."""
         if self.exchange is not None and self in self.connections.paused:
             self.exchange.look_for_end(now_ms() / 1000)
-        super()._resume_reading()
+        super().resume_reading()
 
     def _on_response_end(self) -> None:
         self.exchange = self.request_id = None
--- a/flintlatch/platform/node.py
+++ b/flintlatch/platform/node.py
@@ -15,8 +15,9 @@
 from flintlatch.net.backends import Attempt, Backend, Backends, Connection
 from flintlatch.net.clock import now_ms
 from flintlatch.net.engine import FORWARDED_RESPONSE_HEADERS
-from flintlatch.net.http1 import MAX_BODY, MAX_HEAD, Response
+from flintlatch.net.http1 import MAX_BODY, MAX_FRAMED_FACTOR, MAX_HEAD, Response
 from flintlatch.net.relay import RelayAttempt
+from flintlatch.net.sending import write_body
 from flintlatch.platform.engine import ForwardedRequest
 from flintlatch.platform.limits import GATHER_TIMEOUT_S, MAX_LONG_BODY_BYTES, SERVER_RECEIVE_BUFFER_BYTES
 
@@ -32,6 +33,7 @@
         self.until_close = False
         self.body_length: int | None = None  # Content-Length of the response, if it has one
         self.received_bytes = 0  # of the response's body
+        self.parsed_pieces: list[bytes] = []  # of the body, not passed on yet
         self.gather_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -50,7 +52,7 @@
 
     def send_attempt(self, attempt: Attempt) -> None:
         self.streaming = self.reading_paused = self.until_close = self.sent_all = False
-        self.body_length, self.received_bytes = None, 0
+        self.body_length, self.received_bytes, self.parsed_pieces = None, 0, []
         if not isinstance(attempt, RelayAttempt):  # a probe
             self.uploading = False
             super().send_attempt(attempt)
@@ -83,7 +85,7 @@
         if not self.writing_paused:
             pieces, size = exchange.take(now_ms() / 1000)
             if size:
-                transport.writelines([b"%x\r\n" % size, *pieces, b"\r\n"] if chunked else pieces)
+                write_body(transport, pieces, size, chunked)
         if exchange.upload.fully_taken and not self.sent_all:
             self.sent_all = True
             if chunked:
@@ -119,7 +121,7 @@
             return super().accepts_framing(lengths, codings)
         if len(lengths) + len(codings) > 1:
             return False
-        self.max_message_bytes = MAX_HEAD + 4 * MAX_LONG_BODY_BYTES
+        self.max_message_bytes = MAX_HEAD + MAX_FRAMED_FACTOR * MAX_LONG_BODY_BYTES
         if lengths:
             length = lengths[0].strip()
             if not length.isdigit() or len(length) > 18 or int(length) > MAX_LONG_BODY_BYTES:
@@ -146,15 +148,23 @@
         if self._complete or self._malformed:
             return
         self.received_bytes += len(body)
-        exchange = self.exchange
-        if exchange is None:
+        if self.exchange is None:
             super().on_body(body)
         elif self.received_bytes > MAX_LONG_BODY_BYTES:
             self._malformed = True
-        elif self.streaming:
-            exchange.pieces(now_ms() / 1000, self, [body])
         else:
-            self._body += body
+            self.parsed_pieces.append(body)
+
+    def on_parsed(self) -> None:
+        """Passes all pieces that were parsed on at once: the cost of a piece does not depend on its size."""
+        pieces, self.parsed_pieces = self.parsed_pieces, []
+        exchange = self.exchange
+        if not pieces or exchange is None:
+            return
+        if self.streaming:
+            exchange.pieces(now_ms() / 1000, self, [b"".join(pieces)])
+        else:
+            self._body += b"".join(pieces)
             gather_time_over = (
                 self.gather_timer is not None and self.gather_timer.when() <= self.pool.loop.time()
             )
@@ -199,9 +209,9 @@
             return
         self.reading_paused = hold
         if hold:
-            transport.pause_reading()
+            self.pause_reading()
         else:
-            transport.resume_reading()
+            self.resume_reading()
 
     # Closing
 
--- a/flintlatch/standin/soak/transfers.py
+++ b/flintlatch/standin/soak/transfers.py
@@ -16,7 +16,7 @@
 
 from flintlatch.api import Effect, RequestClass
 from flintlatch.net.clock import now_ms
-from flintlatch.net.http1 import unsent_bytes
+from flintlatch.net.sending import unsent_bytes
 from flintlatch.standin.ledger import RequestRecord
 from flintlatch.standin.soak.audit import LATE_MS, Audit
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -15,8 +15,9 @@
 from flintlatch.net import backends as backends_module
 from flintlatch.net.backends import Attempt, Backends
 from flintlatch.net.clock import now_ms
-from flintlatch.net.http1 import Response, has_unread_data
+from flintlatch.net.http1 import Response
 from flintlatch.net.listing import Target
+from flintlatch.net.receiving import has_unread_data
 from tests.loopback import ScriptedServer, run
 
 REQUEST_HEAD = b"POST /answer HTTP/1.1\r\nhost: b\r\n"
--- a/tests/test_instants.py
+++ b/tests/test_instants.py
@@ -9,8 +9,9 @@
 import pytest
 
 from flintlatch.net.discovery import ListConnection
-from flintlatch.net.http1 import Response, peer_closed
+from flintlatch.net.http1 import Response
 from flintlatch.net.listing import read_listing
+from flintlatch.net.receiving import peer_closed
 from flintlatch.platform.node import PlatformConnection
 from tests.loopback import ScriptedServer, listing, proxy, run, target
 from tests.test_closing import accepted_client, raw_connection
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -16,7 +16,7 @@
 from flintlatch.net import frontend as frontend_module
 from flintlatch.net.backends import Backends, Connection
 from flintlatch.net.client import Client as AcceptedClient
-from flintlatch.net.http1 import peer_closed
+from flintlatch.net.receiving import peer_closed
 from tests.loopback import Client, Proxy, proxy, run
 
 LINGER_RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # SO_LINGER on, 0 s: close resets
