--- a/flintlatch/exchange/__init__.py
+++ b/flintlatch/exchange/__init__.py
@@ -6,10 +6,11 @@
 """
 
 from flintlatch.exchange.core import BodyTooLarge, Exchange, Owner, Phase
+from flintlatch.exchange.memory import MIN_SHARE_BYTES, NO_LIMIT_BYTES, Budget, MemoryAccount
 from flintlatch.exchange.messages import Ending, Fields, Piece, ProxyResponse, Request, Response, RoutingInfo
 from flintlatch.exchange.sides import ClientSide, NodeSide
 from flintlatch.exchange.terms import ExchangeLimits
-from flintlatch.exchange.transfer import Budget, Pipe, ProgressLimits, Side, Stall, Upload
+from flintlatch.exchange.transfer import Pipe, ProgressLimits, Side, Stall, Upload
 
 __all__ = [
     "BodyTooLarge",
@@ -19,6 +20,9 @@
     "Exchange",
     "ExchangeLimits",
     "Fields",
+    "MIN_SHARE_BYTES",
+    "MemoryAccount",
+    "NO_LIMIT_BYTES",
     "NodeSide",
     "Owner",
     "Phase",
--- a/flintlatch/exchange/core.py
+++ b/flintlatch/exchange/core.py
@@ -229,6 +229,7 @@
         """The response of this node is complete."""
         if self.phase is Phase.RESPONDING and node is self.node:
             self.phase, self.ending, self.node, self.ended_s = Phase.ENDED, Ending.ANSWERED, None, now_s
+            self.upload.drop()
             self.client.end(trailers or [])
             self.owner.on_exchange_ended(self)
 
@@ -320,6 +321,7 @@
             return
         responding, offered = self.phase is Phase.RESPONDING, self.phase is not Phase.GATHERING
         self.phase, self.ending, self.node, self.ended_s = Phase.ENDED, ending, None, now_s
+        self.upload.drop()
         if responding and ending is not Ending.CLIENT_LEFT:
             self.client.reset()
         if stalled_node is not None:
--- /dev/null
+++ b/flintlatch/exchange/memory.py
@@ -0,0 +1,69 @@
+"""The memory for what is held for clients and servers: one budget, which every holder asks.
+
+What can't be given up half-way is reserved before it begins, and refused if too little is left. What can
+wait, such as a response whose client reads slowly, has an account. Its holder keeps to a share of the free
+memory, so all shares shrink as more is held, and their sum stays within the budget (dynamic thresholds:
+Choudhury and Hahne, 1998).
+"""
+
+from __future__ import annotations
+
+SHARE_FRACTION = 1 / 32  # of the free memory, for one holder
+MIN_SHARE_BYTES = 4 * 1024  # with less, a small request could not go on
+MAX_SHARE_BYTES = 128 * 1024  # a short body, its head and one read
+NO_LIMIT_BYTES = 1 << 60
+
+
+class Budget:
+    """Memory for all connections together."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.used_bytes = self.peak_bytes = 0
+
+    def reserve(self, count: int) -> bool:
+        """Reserves `count` bytes; returns false and reserves nothing if less is left."""
+        if count and self.used_bytes + count > self.limit_bytes:
+            return False
+        self._add(count)
+        return True
+
+    def release(self, count: int) -> None:
+        if count > self.used_bytes:
+            raise ValueError(f"{count} bytes released, but only {self.used_bytes} are out")
+        self.used_bytes -= count
+
+    @property
+    def share_bytes(self) -> int:
+        """What the holder of one account may hold now."""
+        free_bytes = max(self.limit_bytes - self.used_bytes, 0)
+        return max(MIN_SHARE_BYTES, min(int(free_bytes * SHARE_FRACTION), MAX_SHARE_BYTES))
+
+    def open_account(self) -> MemoryAccount:
+        return MemoryAccount(self)
+
+    def _add(self, count: int) -> None:
+        self.used_bytes += count
+        self.peak_bytes = max(self.peak_bytes, self.used_bytes)
+
+
+class MemoryAccount:
+    """What one holder holds."""
+
+    def __init__(self, budget: Budget) -> None:
+        self.budget = budget
+        self.held_bytes = 0
+
+    @property
+    def room_bytes(self) -> int:
+        """What the holder may take in addition."""
+        return max(self.budget.share_bytes - self.held_bytes, 0)
+
+    def set_held(self, count: int) -> None:
+        """Records what is held now. It may be more than the share, which shrinks as others hold more."""
+        added = count - self.held_bytes
+        self.held_bytes = count
+        if added >= 0:
+            self.budget._add(added)
+        else:
+            self.budget.release(-added)
--- a/flintlatch/exchange/sides.py
+++ b/flintlatch/exchange/sides.py
@@ -41,6 +41,9 @@
     def unsent_bytes(self) -> int:
         """Bytes in this side's write buffer that were not sent to the client yet."""
 
+    def response_room(self) -> int:
+        """Bytes of the response that this side may take now without holding too much memory."""
+
     def unread_body_bytes(self) -> int:
         """Bytes of the request's body that the machine has and this side has not read or passed on yet."""
 
--- a/flintlatch/exchange/terms.py
+++ b/flintlatch/exchange/terms.py
@@ -12,7 +12,7 @@
     progress: ProgressLimits  # for the side that a transfer waits for
     upload_ms: float  # time for the whole request to arrive; `progress` applies as well
     upload_bytes: int  # buffered of a request's body at most; a longer body can't be retried
-    answer_bytes: int  # buffered of a response's body at most
+    answer_bytes: int  # of a response's body that the client does not have yet, in process and kernel
     body_bytes: int  # maximum length of a request's body
     flow_bytes: int = 0  # buffered of a body that can't be retried; 0: as `upload_bytes`
 
@@ -23,9 +23,14 @@
         if not self.body_bytes >= 0:
             raise ValueError("body_bytes must not be negative")
 
+    @property
+    def max_upload_buffer_bytes(self) -> int:
+        """Bytes of an upload that an exchange may buffer: those that are kept for a retry and those that wait
+        to be taken."""
+        return self.upload_bytes + max(self.upload_bytes, self.flow_bytes)
+
     def max_buffered_bytes(self, uploading: bool) -> int:
-        """Bytes that an exchange may buffer. An upload may take its buffer twice: for the bytes that are kept
-        for a retry and for the bytes that wait to be taken."""
+        """Bytes that an exchange may buffer."""
         if not uploading:
             return self.answer_bytes
-        return self.answer_bytes + self.upload_bytes + max(self.upload_bytes, self.flow_bytes)
+        return self.answer_bytes + self.max_upload_buffer_bytes
--- a/flintlatch/exchange/transfer.py
+++ b/flintlatch/exchange/transfer.py
@@ -194,27 +194,6 @@
         self.source_may_send, self.sink_attached = source, sink
 
 
-class Budget:
-    """Memory for the bodies of all connections together."""
-
-    def __init__(self, limit_bytes: int) -> None:
-        self.limit_bytes = limit_bytes
-        self.used_bytes = self.peak_bytes = 0
-
-    def reserve(self, count: int) -> bool:
-        """Reserves `count` bytes; returns false and reserves nothing if less is left."""
-        if self.used_bytes + count > self.limit_bytes:
-            return False
-        self.used_bytes += count
-        self.peak_bytes = max(self.peak_bytes, self.used_bytes)
-        return True
-
-    def release(self, count: int) -> None:
-        if count > self.used_bytes:
-            raise ValueError(f"{count} bytes released, but only {self.used_bytes} are out")
-        self.used_bytes -= count
-
-
 class Upload:
     """The buffer of a request's body on its way to a node.
 
@@ -298,6 +277,11 @@
         self._untaken_bytes = 0
         return pieces, size
 
+    def drop(self) -> None:
+        """Frees the buffer: no attempt needs it any more."""
+        self._pieces, self._next_index = [], 0
+        self._buffered_bytes = self._untaken_bytes = 0
+
     @property
     def fully_taken(self) -> bool:
         """Whether the current attempt has taken the complete body."""
--- a/flintlatch/http/front.py
+++ b/flintlatch/http/front.py
@@ -333,6 +333,9 @@
     def unsent_bytes(self) -> int:
         return self.transport.get_write_buffer_size()
 
+    def response_room(self) -> int:
+        return max(WRITE_HIGH_WATER_BYTES - self.transport.get_write_buffer_size(), 0)
+
     def unread_body_bytes(self) -> int:
         """Nothing: the time of a request counts from when its end is read."""
         return 0
--- a/flintlatch/net/backends.py
+++ b/flintlatch/net/backends.py
@@ -8,6 +8,7 @@
 from math import inf
 
 from flintlatch.api import Result, ServerState
+from flintlatch.exchange import NO_LIMIT_BYTES, Budget
 from flintlatch.net.clock import now_ms
 from flintlatch.net.guard import bugs
 from flintlatch.net.http1 import Http1Connection, Response
@@ -202,8 +203,10 @@
         max_connections: int,
         source_host: str = "",
         turns: TurnSchedule | None = None,
+        memory: Budget | None = None,
     ) -> None:
-        """`turns`: shared with the clients' connections."""
+        """`turns`, `memory`: shared with the clients' connections."""
+        self.memory = memory or Budget(NO_LIMIT_BYTES)
         self.local_address = (source_host, 0) if source_host else None  # source address of the connections
         self.connect_timeout_s, self.idle_timeout_ms = (
             connect_timeout_ms / 1000,
--- a/flintlatch/net/client.py
+++ b/flintlatch/net/client.py
@@ -9,14 +9,15 @@
 
 import httptools
 
+from flintlatch.exchange import MIN_SHARE_BYTES
 from flintlatch.net.clock import now_ms
 from flintlatch.net.connections import ClientConnections, ConnectionState
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Answer, Engine
 from flintlatch.net.guard import bugs
-from flintlatch.net.http1 import MAX_BODY, MAX_FRAMED_FACTOR, MAX_HEAD, Headers
+from flintlatch.net.http1 import MAX_BODY, MAX_FIELDS, MAX_FRAMED_FACTOR, MAX_HEAD, Headers
 from flintlatch.net.receiving import StreamConnection, has_unread_data, ms_since_last_data, peer_closed
-from flintlatch.net.request import Message, Reader, RequestError, check_framing
+from flintlatch.net.request import Message, Reader, RequestError, check_framing, held_bytes
 from flintlatch.net.sending import OutputProgress, unsent_bytes
 
 MAX_PIPELINED = 2  # requests read ahead on a connection before reading is paused
@@ -64,6 +65,7 @@
         self.writing_blocked = False  # the write buffer is full, because the client does not read
         self.response_sent, self.consecutive_errors, self.discarded_bytes = False, 0, 0
         self.unparsed = b""  # received, but not parsed yet
+        self.account = frontend.engine.memory.open_account()
         self.request_started = False  # a request has begun and is not complete
         self.last_data_ms = 0.0  # time at which bytes of a request last arrived
         # Since when this connection may have waited to be accepted; None: it was accepted at once.
@@ -78,6 +80,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        # Above it the kernel's buffer is full: what else may be written depends on the client's share.
+        self.transport.set_write_buffer_limits(high=MIN_SHARE_BYTES)
         self.connections.add(self)
 
     @property
@@ -132,6 +136,8 @@
         self.queue.clear()
         # The parser refers back to this connection; only the garbage collector would free the cycle.
         self.unparsed, self.parser = b"", None
+        self._reset()
+        self.account.set_held(0)
         self.frontend.on_client_lost(self)
         if self.request_id is not None:
             self.frontend.engine.client_gone(self.request_id)
@@ -161,12 +167,39 @@
         else:
             self.abort()
 
+    # Memory
+
+    def receive_limit(self) -> int:
+        return self.account.room_bytes
+
+    def partial_bytes(self) -> int:
+        """Memory for the request that is not complete."""
+        return held_bytes(self._headers, self._body) + len(self._target)
+
+    def update_account(self) -> None:
+        """Records what is held for this client."""
+        if self.state is ConnectionState.CLOSED or self.parser is None:
+            return
+        held = len(self.unparsed) + self.partial_bytes()
+        held += sum(message.held_bytes() for message in self.queue)
+        if self.writing_blocked:  # otherwise the kernel takes the rest at once
+            held += self.transport.get_write_buffer_size()
+        self.account.set_held(held)
+
+    def _refuse_beyond_share(self) -> None:
+        """Refuses an incomplete request that takes more memory than one client may hold now, before anything
+        of it is sent to a server."""
+        if self.request_started and self.partial_bytes() > self.account.budget.share_bytes:
+            self._reject(503)
+
     def pause_writing(self) -> None:
         self.writing_blocked = True
+        self.update_account()
 
     def resume_writing(self) -> None:
         self.writing_blocked = False
         self._process_next()
+        self.update_account()
 
     def waits_for_reader(self) -> bool:
         """Whether nothing but the client's reading lets the connection go on."""
@@ -183,6 +216,13 @@
         responses, which are kept in memory until then."""
         return self.request_id is None and not self.writing_blocked
 
+    def may_read_ahead(self) -> bool:
+        """Whether more may be read: requests that can't be handled yet wait in the kernel, once this client
+        holds what it may."""
+        if len(self.queue) >= MAX_PIPELINED:
+            return False
+        return self.may_start_request() or self.account.room_bytes > 0
+
     def _process_next(self) -> None:
         """Continues with the requests queued behind the one just answered."""
         if self.state in (ConnectionState.LINGERING, ConnectionState.CLOSED):
@@ -195,14 +235,17 @@
         while not self.closing or self.queue:
             while self.may_start_request() and self.queue:
                 self._handle(self.queue.popleft())
-            if not self.unparsed or self.closing or len(self.queue) >= MAX_PIPELINED:
+            if not self.unparsed or self.closing or not self.may_read_ahead():
                 break
             size = self.parse_limit()
             if size <= 0:
                 break
             chunk, self.unparsed = self.unparsed[:size], self.unparsed[size:]
             self._parse(chunk)
+            self._refuse_beyond_share()
+            self.update_account()
         self._update_state()
+        self.update_account()
 
     def _update_state(self) -> None:
         if self.transport.is_closing() or self.state in (ConnectionState.LINGERING, ConnectionState.CLOSED):
@@ -220,7 +263,7 @@
             self.connections.move(self, ConnectionState.IDLE)
         if self.closing:
             return
-        if len(self.queue) >= MAX_PIPELINED or len(self.unparsed) > PARSE_CHUNK_BYTES:
+        if not self.may_read_ahead() or len(self.unparsed) > PARSE_CHUNK_BYTES:
             self.pause_reading()
         else:
             self.resume_reading()
@@ -271,6 +314,7 @@
         if not self.closing:
             self.connections.move(self, ConnectionState.FINISHING)
             self.unparsed, self.request_started = b"", False
+            self._reset()
             self.queue.append(RequestError(status))
 
     def on_read_timeout(self) -> None:
@@ -293,11 +337,17 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # Trailers are dropped, as they must not be taken for checked headers; only their size is counted.
-        if not self._head_done:
+        if self._head_done or self.closing:
+            return
+        if len(self._headers) >= MAX_FIELDS:
+            self._reject(431)
+        else:
             # White space around a value is not part of it, RFC 9110 section 5.5.
             self._headers.append((name.strip().lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
+        if self.closing:
+            return
         self._head_done = True
         try:
             check_framing(self._headers)
@@ -399,7 +449,9 @@
         self.connections.move(self, ConnectionState.LINGERING)
         self.unparsed = b""
         self.queue.clear()
+        self._reset()
         self.connections.paused.discard(self)
         self.resume_reading()
         self.transport.write_eof()
         self.progress = OutputProgress(unsent_bytes(self.transport))
+        self.update_account()
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -36,6 +36,7 @@
     Watch,
 )
 from flintlatch.choice import Balancer
+from flintlatch.exchange import NO_LIMIT_BYTES, Budget
 from flintlatch.net.backends import Attempt, Backends
 from flintlatch.net.clock import WallClock, now_ms
 from flintlatch.net.counts import Counts, ListEvent, RetryEvent
@@ -101,18 +102,32 @@
     """Runs one proxy's decision module: events of one loop turn go to it in one step, and its actions are
     executed."""
 
-    def __init__(self, settings: Settings, wire: SocketSettings, seed: int, max_connections: int) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        wire: SocketSettings,
+        seed: int,
+        max_connections: int,
+        memory: Budget | None = None,
+    ) -> None:
+        self.memory = memory or Budget(NO_LIMIT_BYTES)
         self.settings, self.seed = settings, seed
         self.loop = asyncio.get_running_loop()
         self.turns = TurnSchedule(self.loop.call_soon)
         self.balancer = Balancer(settings, seed)
         self.backends = Backends(
-            wire.connect_timeout_ms, wire.conn_idle_ms, max_connections, wire.source_host, self.turns
+            wire.connect_timeout_ms,
+            wire.conn_idle_ms,
+            max_connections,
+            wire.source_host,
+            self.turns,
+            self.memory,
         )
         self.probe_timeout_ms = wire.connect_timeout_ms
         self.discovery: Discovery | None = None
         self.requests: dict[str, PendingRequest] = {}
-        self.recent_ids: dict[str, float] = {}  # ids of recent requests with their arrival time, oldest first
+        # Hashes of the ids of recent requests, which take less memory, with their arrival time, oldest first.
+        self.recent_ids: dict[int, float] = {}
         self.max_deadline_ms = max(c.deadline_ms for c in settings.classes)
         self.list_revision = 0  # of the present list
         self.list_received = False  # whole, from the service
@@ -264,10 +279,9 @@
     def accept(self, accepted: AcceptedRequest) -> bool:
         """Adds a request. False if a request with this id is open or was recently, because ids must be
         unique."""
-        self._expire_recent_ids()
-        if accepted.id in self.recent_ids or accepted.id in self.requests:
+        if self.is_recent_id(accepted.id) or accepted.id in self.requests:
             return False
-        self.recent_ids[accepted.id] = now_ms()
+        self.recent_ids[hash(accepted.id)] = now_ms()
         # Capped at the deadline of the class: a larger budget would distort what the decision module learns.
         budget = accepted.budget_ms
         if not accepted.uploading:
@@ -282,6 +296,11 @@
         )
         return True
 
+    def is_recent_id(self, request_id: str) -> bool:
+        """Whether a request with this id arrived recently."""
+        self._expire_recent_ids()
+        return hash(request_id) in self.recent_ids
+
     def _expire_recent_ids(self) -> None:
         oldest = now_ms() - max(MIN_ID_RETENTION_S * 1000, self.max_deadline_ms)
         while self.recent_ids:
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -9,6 +9,7 @@
 from typing import cast
 
 from flintlatch.net import connections
+from flintlatch.net.allocator import AllocatorTrim
 from flintlatch.net.client import Client
 from flintlatch.net.clock import now_ms
 from flintlatch.net.connections import ClientConnections, ConnectionState
@@ -58,6 +59,7 @@
         self.accepts_per_turn = accepts_per_turn
         self.loop = asyncio.get_running_loop()
         self.clients: ClientConnections[Client] = ClientConnections()
+        self.allocator_trim = AllocatorTrim(engine.memory)
         # Descriptors in use by clients, including connections that are being opened or closed.
         self.connection_count = 0
         self.opening_tasks: set[asyncio.Task[object]] = set()
@@ -209,6 +211,7 @@
     def _sweep(self) -> None:
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.clients.sweep(self._idle_timeout_s())
+        self.allocator_trim.check()
 
     def _idle_timeout_s(self) -> float:
         if self.keep_alive_disabled:  # the full time for each client, however long it was idle before
--- a/flintlatch/net/http1.py
+++ b/flintlatch/net/http1.py
@@ -13,6 +13,7 @@
 
 MAX_BODY = 64 * 1024  # bytes
 MAX_HEAD = 16 * 1024  # bytes
+MAX_FIELDS = 128  # of a head; the objects of a short field take many times its bytes
 # Size of a body as it is sent over its size: a chunk of one byte takes six bytes, RFC 9112 section 7.1. The
 # rest is for zeros before the size, extensions and trailers.
 MAX_FRAMED_FACTOR = 8
@@ -159,7 +160,11 @@
             self._keep_alive = False  # a second response to one request
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._head_done:  # otherwise a trailer, or part of an unsolicited response
+        if self._head_done:  # a trailer, or part of an unsolicited response
+            return
+        if len(self._headers) >= MAX_FIELDS:
+            self._malformed = True
+        else:
             self._headers.append((name.strip().lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
--- a/flintlatch/net/receiving.py
+++ b/flintlatch/net/receiving.py
@@ -20,7 +20,7 @@
 from flintlatch.net.turns import MAX_READ_BYTES, TurnSchedule
 
 SLICE_BYTES = 16 * 1024  # handed to a connection at once
-MIN_READ_BYTES = 4 * 1024  # whatever room is left: a connection without room pauses reading
+MIN_READ_BYTES = 2 * 1024  # whatever room is left: a connection without room pauses reading
 # The member tcpi_last_data_recv of struct tcp_info, linux/tcp.h.
 LAST_DATA_RECEIVED, LAST_DATA_RECEIVED_AT = struct.Struct("=I"), 52
 TCP_INFO_BYTES = 104
--- a/flintlatch/net/relay.py
+++ b/flintlatch/net/relay.py
@@ -102,11 +102,10 @@
         terms: tuple[ExchangeLimits, ...],
         connection_factory: Callable[[Backends, Backend], Connection],
     ) -> None:
-        """`body_bytes`: memory for the bodies of all requests together. `terms`: by class.
+        """`body_bytes`: memory for what is held for all clients and servers together. `terms`: by class.
         `connection_factory`: makes a connection to a node, which is also a `NodeSide`."""
-        super().__init__(settings, wire, seed, max_connections)
+        super().__init__(settings, wire, seed, max_connections, Budget(body_bytes))
         self.backends.connection_factory = connection_factory
-        self.body_memory = Budget(body_bytes)
         self.terms = terms
         self.exchanges: dict[str, Exchange] = {}
         self.reserved_bytes: dict[str, int] = {}
@@ -120,12 +119,11 @@
         """Registers the exchange and reserves the memory that it may need; false if too little is left.
         Raises KeyError if a request with its id is open or was recently."""
         request_id = exchange.routing.id
-        self._expire_recent_ids()
-        if request_id in self.exchanges or request_id in self.recent_ids or request_id in self.requests:
+        if request_id in self.exchanges or self.is_recent_id(request_id) or request_id in self.requests:
             raise KeyError(request_id)
         # The maximum is reserved at once, so that no slow request runs out of memory half-way.
         memory_bytes = self.max_memory_bytes(exchange, uploading)
-        if not self.body_memory.reserve(memory_bytes):
+        if not self.memory.reserve(memory_bytes):
             return False
         self.exchanges[request_id], self.reserved_bytes[request_id] = exchange, memory_bytes
         return True
@@ -359,7 +357,7 @@
     def _remove_exchange(self, request_id: str, pending: PendingRequest | None = None) -> None:
         exchange = self.exchanges.pop(request_id, None)
         if exchange is not None:
-            self.body_memory.release(self.reserved_bytes.pop(request_id))
+            self.memory.release(self.reserved_bytes.pop(request_id))
             if self.exchange_observer is not None:
                 self.exchange_observer(exchange, pending.attempts if pending is not None else [])
 
--- a/flintlatch/net/request.py
+++ b/flintlatch/net/request.py
@@ -26,6 +26,8 @@
 HEADER_VALUE_PATTERN = re.compile(rb"[\t -~]{0,1024}")
 REQUEST_ID_PATTERN = re.compile(rb"[!-~]{1,128}")
 BUDGET_PATTERN = re.compile(rb"0{0,8}[1-9][0-9]{0,8}")
+# Of a field beside its bytes: two bytes objects with their headers, a pair, and its place in a list.
+FIELD_BYTES = 2 * 48 + 56 + 8
 ROUTE_KEY_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,16}")
 
 
@@ -36,6 +38,15 @@
         super().__init__(message)
         self.status = status
 
+    def held_bytes(self) -> int:
+        """The memory that it takes while it is queued."""
+        return 0
+
+
+def held_bytes(headers: Headers, body: bytes | bytearray) -> int:
+    """The memory that a message takes."""
+    return sum(len(name) + len(value) + FIELD_BYTES for name, value in headers) + len(body)
+
 
 class Message(NamedTuple):
     """A complete message of a client."""
@@ -47,6 +58,10 @@
     keep_alive: bool
     arrived_ms: float
 
+    def held_bytes(self) -> int:
+        """The memory that it takes."""
+        return held_bytes(self.headers, self.body)
+
 
 def check_framing(headers: Headers, max_body_bytes: int = MAX_BODY) -> int | None:
     """Returns the length of the body in bytes, or None for a chunked body.
--- a/flintlatch/platform/build.py
+++ b/flintlatch/platform/build.py
@@ -8,11 +8,12 @@
 from flintlatch.net.request import Reader
 from flintlatch.platform.engine import PlatformEngine
 from flintlatch.platform.front import PlatformFrontend
-from flintlatch.platform.limits import UPLOAD_MEMORY_FRACTION
+from flintlatch.platform.limits import memory_budget_bytes
 from flintlatch.platform.node import PlatformConnection
 from flintlatch.settings import SocketSettings
 
-TRANSFER_FRACTION = 0.9  # of the connections to servers and of the upload memory that transfers may use
+TRANSFER_FRACTION = 0.9  # of the connections to servers that transfers may use
+UPLOAD_MEMORY_FRACTION = 0.5  # of the memory budget that the buffers of uploads may use
 
 
 def build(
@@ -26,11 +27,11 @@
 ) -> tuple[PlatformEngine, PlatformFrontend]:
     """`memory_mb`: the memory limit of the process. `accepts_per_turn`: connections accepted in one loop
     turn, if other processes accept from the same socket."""
-    upload_bytes = int(memory_mb * 1e6 * UPLOAD_MEMORY_FRACTION)
+    budget_bytes = memory_budget_bytes(memory_mb, to_backends + to_clients)
     settings = replace(
         settings,
         all_transfers=max(1, int(to_backends * TRANSFER_FRACTION)),
-        all_transfer_bytes=int(upload_bytes * TRANSFER_FRACTION),
+        all_transfer_bytes=int(budget_bytes * UPLOAD_MEMORY_FRACTION),
     )
-    engine = PlatformEngine(settings, wire, seed, to_backends, upload_bytes, (), PlatformConnection)
+    engine = PlatformEngine(settings, wire, seed, to_backends, budget_bytes, (), PlatformConnection)
     return engine, PlatformFrontend(engine, Reader(settings, wire), to_clients, *accepts_per_turn)
--- a/flintlatch/platform/engine.py
+++ b/flintlatch/platform/engine.py
@@ -32,6 +32,5 @@
         Engine._on_deadline(self, pending)
 
     def max_memory_bytes(self, exchange: Exchange, uploading: bool) -> int:
-        # Short bodies are bounded by the number of clients, long responses by the buffers of their
-        # connections.
-        return exchange.limits.max_buffered_bytes(True) if uploading else 0
+        # Everything else is in the accounts of the connections.
+        return exchange.limits.max_upload_buffer_bytes if uploading else 0
--- a/flintlatch/platform/front.py
+++ b/flintlatch/platform/front.py
@@ -3,7 +3,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
 from dataclasses import dataclass
 from math import inf
@@ -52,10 +51,6 @@
         self.processing = False
         self.upload_pieces: list[bytes] = []  # parsed, and not handed to the exchange yet
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
-        self.transport.set_write_buffer_limits(high=CLIENT_WRITE_BUFFER_BYTES)
-
     def connection_lost(self, exc: Exception | None) -> None:
         exchange, self.exchange, self.incoming = self.exchange, None, None
         self.request_id = None
@@ -65,14 +60,29 @@
 
     def pause_writing(self) -> None:
         super().pause_writing()
-        if self.exchange is not None:
-            self.exchange.set_client_blocked(True)
+        self._apply_backpressure()
 
     def resume_writing(self) -> None:
         if self.exchange is not None:
             self.exchange.set_client_blocked(False)
         super().resume_writing()
 
+    def _apply_backpressure(self) -> None:
+        """Stops reading from the server once the client does not read and its share is used up."""
+        if self.exchange is not None and self.writing_blocked and not self.response_room():
+            self.exchange.set_client_blocked(True)
+
+    def response_room(self) -> int:
+        share_bytes = min(self.account.budget.share_bytes, CLIENT_WRITE_BUFFER_BYTES)
+        return max(share_bytes - self.transport.get_write_buffer_size(), 0)
+
+    def update_account(self) -> None:
+        super().update_account()
+        exchange = self.exchange
+        # The buffer of a long upload is reserved as a whole.
+        if exchange is not None and not self.engine.reserved_bytes.get(exchange.routing.id):
+            self.account.set_held(self.account.held_bytes + exchange.upload.buffered_bytes)
+
     # Reading requests
 
     def _process(self) -> None:
@@ -95,6 +105,11 @@
             return 0  # earlier requests of the connection are answered first
         return super().parse_limit()
 
+    def may_read_ahead(self) -> bool:
+        # An upload that is handled is read as its exchange has room.
+        is_handled = self.incoming is not None and self.incoming.exchange is not None
+        return is_handled or super().may_read_ahead()
+
     def message_limit(self) -> float:
         if self.incoming is not None and self.incoming.exchange is not None:
             return inf  # its limits are those of EXCHANGE_LIMITS
@@ -108,6 +123,8 @@
             self.exchange.notify_node()
 
     def on_headers_complete(self) -> None:
+        if self.closing:
+            return
         self._head_done = True
         try:
             length = check_framing(self._headers, MAX_LONG_BODY_BYTES)
@@ -192,7 +209,7 @@
         now_s = now_ms() / 1000
         if self._body:
             incoming.exchange.receive_body(now_s, [bytes(self._body)])
-            self._body = bytearray()
+        self._body, self._headers = bytearray(), []
         incoming.exchange.offer(now_s)
 
     def _open(self, request: ForwardedRequest, routing: RoutingInfo, uploading: bool) -> Exchange:
@@ -268,6 +285,8 @@
 
     def pieces(self, pieces: list[Piece], size: int) -> None:
         write_body(self.transport, pieces, size, self.response_chunked)
+        self.update_account()
+        self._apply_backpressure()
 
     def end(self, trailers: Fields) -> None:
         if self.response_chunked:
--- a/flintlatch/platform/limits.py
+++ b/flintlatch/platform/limits.py
@@ -6,6 +6,7 @@
 from flintlatch.net.client import PARSE_CHUNK_BYTES
 from flintlatch.net.connections import OUTPUT_STALL_TIMEOUT_S
 from flintlatch.net.http1 import MAX_BODY
+from flintlatch.net.turns import MAX_READ_BYTES
 
 # Between 32 MB, the largest valid body, and 60 MB, which is certainly invalid.
 MAX_LONG_BODY_BYTES = 40 * 1024 * 1024
@@ -18,15 +19,27 @@
 UPLOAD_PARSE_BYTES = 64 * 1024  # parsed at once of an upload; PARSE_CHUNK_BYTES applies before it starts
 TRANSFER_IDLE_TIMEOUT_S = OUTPUT_STALL_TIMEOUT_S  # without a byte from the side that has to send
 UPLOAD_TIMEOUT_MS = 600_000.0  # 32 MB at 64 kB/s take 500 s, and the rest is a margin
-UPLOAD_MEMORY_FRACTION = 0.3  # of the memory limit, for the bodies of uploads
+# Of a process without connections, and of one connection of either side without input and output.
+PROCESS_BYTES, CONNECTION_BYTES = 22_000_000, 8 * 1024
+USABLE_MEMORY_FRACTION = 0.75  # the rest is for the gaps between objects, which the allocator keeps
+MIN_BUDGET_FRACTION = 0.1  # of the memory limit, where the process itself takes most of it
 GATHER_TIMEOUT_S = 0.05  # for the end of a response without a length: most are short and arrive at once
 
+
+def memory_budget_bytes(memory_mb: float, connections: int) -> int:
+    """Memory for what is held for clients and servers, of a process that may use `memory_mb` in all."""
+    limit_bytes = memory_mb * 1e6
+    process_bytes = PROCESS_BYTES + connections * CONNECTION_BYTES
+    usable_bytes = limit_bytes * USABLE_MEMORY_FRACTION - process_bytes
+    return int(max(usable_bytes, limit_bytes * MIN_BUDGET_FRACTION))
+
+
 EXCHANGE_LIMITS = ExchangeLimits(
     ProgressLimits(TRANSFER_IDLE_TIMEOUT_S, 0.0),  # no minimum rate
     UPLOAD_TIMEOUT_MS,
     RETRY_BUFFER_BYTES,
-    # The client's write buffer, and what one read may add to it: the kernel doubles SO_RCVBUF.
-    CLIENT_WRITE_BUFFER_BYTES + 2 * SERVER_RECEIVE_BUFFER_BYTES,
+    # The client's write buffer, what one read may add to it, and the kernel's: it doubles SO_SNDBUF.
+    CLIENT_WRITE_BUFFER_BYTES + MAX_READ_BYTES + 2 * CLIENT_SEND_BUFFER_BYTES,
     MAX_LONG_BODY_BYTES,
     UPLOAD_PARSE_BYTES,
 )
--- a/flintlatch/platform/node.py
+++ b/flintlatch/platform/node.py
@@ -35,6 +35,7 @@
         self.received_bytes = 0  # of the response's body
         self.parsed_pieces: list[bytes] = []  # of the body, not passed on yet
         self.gather_timer: asyncio.TimerHandle | None = None
+        self.account = pool.memory.open_account()  # of a response that is gathered
 
     @property
     def exchange(self) -> Exchange | None:
@@ -81,6 +82,8 @@
         exchange, transport = self.exchange, self.transport
         if exchange is None or transport is None or not self.uploading or transport.is_closing():
             return
+        if exchange.has_ended:
+            return
         chunked = exchange.request.length is None
         if not self.writing_paused:
             pieces, size = exchange.take(now_ms() / 1000)
@@ -116,6 +119,12 @@
 
     # Receiving the response
 
+    def receive_limit(self) -> int:
+        exchange = self.exchange
+        if self.streaming and exchange is not None:
+            return exchange.client.response_room()
+        return self.account.room_bytes
+
     def accepts_framing(self, lengths: list[bytes], codings: list[bytes]) -> bool:
         if self._status != 200 or self.exchange is None:
             return super().accepts_framing(lengths, codings)
@@ -168,7 +177,9 @@
             gather_time_over = (
                 self.gather_timer is not None and self.gather_timer.when() <= self.pool.loop.time()
             )
-            if len(self._body) > MAX_BODY or gather_time_over or (self.body_length or 0) > MAX_BODY:
+            self.account.set_held(len(self._body))
+            too_long = max(len(self._body), self.body_length or 0) > MAX_BODY
+            if too_long or gather_time_over or not self.account.room_bytes:
                 self._begin_streaming()
 
     def _begin_streaming(self) -> None:
@@ -181,6 +192,7 @@
         self._cancel_gather_timer()
         now_s = now_ms() / 1000
         body, self._body = bytes(self._body), bytearray()
+        self.account.set_held(0)
         exchange.begin(now_s, self, Head(200, self._forwarded_headers(), length=self.body_length))
         if exchange.phase is not Phase.RESPONDING or exchange.node is not self:
             self._malformed = True  # another attempt's response was first: this one is dropped
@@ -192,6 +204,7 @@
 
     def on_response(self, response: Response) -> None:
         self._cancel_gather_timer()
+        self.account.set_held(0)
         exchange = self.exchange
         if exchange is not None and response.status == 200:
             now_s = now_ms() / 1000
@@ -222,6 +235,7 @@
 
     def close(self) -> None:
         self._cancel_gather_timer()
+        self.account.set_held(0)
         super().close()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/exchange/test_core.py
+++ b/tests/exchange/test_core.py
@@ -66,6 +66,9 @@
     def unsent_bytes(self) -> int:
         return self.unsent
 
+    def response_room(self) -> int:
+        return 1000
+
     def unread_body_bytes(self) -> int:
         return 0
 
--- a/tests/exchange/test_transfer.py
+++ b/tests/exchange/test_transfer.py
@@ -7,7 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from flintlatch.exchange.transfer import Budget, Pipe, ProgressLimits, Side, Stall, Upload
+from flintlatch.exchange.memory import Budget
+from flintlatch.exchange.transfer import Pipe, ProgressLimits, Side, Stall, Upload
 
 NO_MIN_RATE = ProgressLimits(idle_s=5.0, least_bytes_per_s=0)
 WITH_MIN_RATE = ProgressLimits(idle_s=5.0, least_bytes_per_s=100, window_s=10)
