--- a/flintlatch/exchange/core.py
+++ b/flintlatch/exchange/core.py
@@ -210,8 +210,13 @@
         if self.phase is not Phase.AWAITING_RESPONSE:
             return
         self.phase, self.node, self.status, self.first_byte_s = Phase.RESPONDING, node, head.status, now_s
+        limits = self.limits
         self.response_pipe = Pipe(
-            Side.NODE, self.limits.answer_bytes, self.limits.progress, self.limits.progress, now_s
+            Side.NODE,
+            limits.answer_bytes,
+            limits.writer_progress or limits.progress,
+            limits.reader_progress or limits.progress,
+            now_s,
         )
         self.owner.on_response_begun(self, node, head)
         self.client.begin(head)
@@ -295,7 +300,7 @@
         self.upload_pipe.set_waiting_sides(now_s, self.upload.room > 0, self.node is not None)
 
     def _record_client_reads(self, now_s: float) -> None:
-        """Records how much of the response's body has left the client side's write buffer."""
+        """Records how much of the response's body the client's machine has taken."""
         if (
             self.response_pipe is not None
             and (read_bytes := self.response_pipe.buffered_bytes - self.client.unsent_bytes()) > 0
--- a/flintlatch/exchange/sides.py
+++ b/flintlatch/exchange/sides.py
@@ -39,7 +39,7 @@
         """There is room again for the request's body."""
 
     def unsent_bytes(self) -> int:
-        """Bytes in this side's write buffer that were not sent to the client yet."""
+        """Bytes written to the client that its machine does not have yet, also those in the kernel."""
 
     def response_room(self) -> int:
         """Bytes of the response that this side may take now without holding too much memory."""
--- a/flintlatch/exchange/terms.py
+++ b/flintlatch/exchange/terms.py
@@ -9,12 +9,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeLimits:
-    progress: ProgressLimits  # for the side that a transfer waits for
+    progress: ProgressLimits  # for both sides of a request's body
     upload_ms: float  # time for the whole request to arrive; `progress` applies as well
     upload_bytes: int  # buffered of a request's body at most; a longer body can't be retried
     answer_bytes: int  # of a response's body that the client does not have yet, in process and kernel
     body_bytes: int  # maximum length of a request's body
     flow_bytes: int = 0  # buffered of a body that can't be retried; 0: as `upload_bytes`
+    writer_progress: ProgressLimits | None = None  # for a node that sends a response; None: as `progress`
+    # For a client that reads a response; None: as `progress`. Its machine acknowledges bytes in steps, which
+    # depend on its receive buffer, and not with each read.
+    reader_progress: ProgressLimits | None = None
 
     def __post_init__(self) -> None:
         for name in ("upload_ms", "upload_bytes", "answer_bytes"):
--- a/flintlatch/http/front.py
+++ b/flintlatch/http/front.py
@@ -25,7 +25,7 @@
 from flintlatch.net.engine import Answer
 from flintlatch.net.frontend import Frontend
 from flintlatch.net.relay import Refusal, RelayEngine
-from flintlatch.net.sending import write_body
+from flintlatch.net.sending import unsent_bytes, write_body
 
 if TYPE_CHECKING:
     from flintlatch.net.request import Reader
@@ -331,7 +331,7 @@
         self.abort()
 
     def unsent_bytes(self) -> int:
-        return self.transport.get_write_buffer_size()
+        return unsent_bytes(self.transport)
 
     def response_room(self) -> int:
         return max(WRITE_HIGH_WATER_BYTES - self.transport.get_write_buffer_size(), 0)
--- a/flintlatch/http/sockets.py
+++ b/flintlatch/http/sockets.py
@@ -5,6 +5,8 @@
 import asyncio
 import socket
 
+from flintlatch.net.sending import limit_send_buffer
+
 RECEIVE_BUFFER_BYTES = 128 * 1024  # SO_RCVBUF; the kernel doubles it (socket(7))
 MAX_READ_BYTES = 2 * RECEIVE_BUFFER_BYTES  # upper bound of the bytes that one read returns
 # SO_SNDBUF, doubled too. Without it, the kernel buffers up to 4 MB for a slow client.
@@ -20,4 +22,4 @@
     sock = transport.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     if send:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        limit_send_buffer(transport, SEND_BUFFER_BYTES)
--- a/flintlatch/net/connections.py
+++ b/flintlatch/net/connections.py
@@ -34,7 +34,10 @@
 CROWDED_IDLE_TIMEOUT_S = 2.0  # between two requests, while over half of the connection limit is in use
 EVICTION_GRACE_MS = 250.0  # for a new connection at the limit, whose first request is on the way
 LINGER_TIMEOUT_S = 1.0  # for the peer to close once it has the last response; then the connection is aborted
-OUTPUT_STALL_TIMEOUT_S = 15.0  # for the peer to take a byte of what is written to it
+# For the peer to take a byte of what is written to it. Its machine tells of room in its receive buffer in
+# steps of 64 KB up to a sixteenth of the buffer, which may be some MB: a client that reads 4 KiB a second is
+# seen to take something once in some minutes.
+OUTPUT_STALL_TIMEOUT_S = 600.0
 
 
 class ConnectionState(Enum):
--- a/flintlatch/net/sending.py
+++ b/flintlatch/net/sending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Sequence
 
 from flintlatch.net.clock import now_ms
@@ -25,6 +26,11 @@
         transport.write(b"".join(pieces))
 
 
+def limit_send_buffer(transport: asyncio.BaseTransport, size: int) -> None:
+    """Sets SO_SNDBUF, which the kernel doubles, socket(7). What is buffered already is not discarded."""
+    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+
 def unsent_bytes(transport: asyncio.Transport) -> int:
     """Bytes written to this connection that the peer's machine does not have yet, in the process and in the
     kernel. Of a transport that is closing only the process's are known."""
--- a/flintlatch/platform/front.py
+++ b/flintlatch/platform/front.py
@@ -3,7 +3,6 @@
 
 from __future__ import annotations
 
-import socket
 from dataclasses import dataclass
 from math import inf
 
@@ -17,13 +16,13 @@
 from flintlatch.net.http1 import MAX_BODY, MAX_HEAD
 from flintlatch.net.receiving import ms_since_last_data, unread_bytes
 from flintlatch.net.request import Message, Reader, RequestError, check_framing
-from flintlatch.net.sending import write_body
+from flintlatch.net.sending import limit_send_buffer, unsent_bytes, write_body
 from flintlatch.platform.engine import ForwardedRequest, PlatformEngine
 from flintlatch.platform.limits import (
-    CLIENT_SEND_BUFFER_BYTES,
     CLIENT_WRITE_BUFFER_BYTES,
     EXCHANGE_LIMITS,
     MAX_LONG_BODY_BYTES,
+    SEND_BUFFER_BYTES,
     UPLOAD_PARSE_BYTES,
 )
 
@@ -263,11 +262,7 @@
             self.keep_alive = False  # the rest of the upload can't be distinguished from a next request
         self.response_chunked = head.length is None
         if head.length is None or head.length > MAX_BODY:
-            # By default the kernel buffers up to 4 MB and reports room only after a third of that has been
-            # sent, so a slow client would look like one that does not read at all. Reducing the size does not
-            # discard bytes that are buffered already.
-            client_socket = self.transport.get_extra_info("socket")
-            client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, CLIENT_SEND_BUFFER_BYTES)
+            limit_send_buffer(self.transport, SEND_BUFFER_BYTES)
         framing = (
             b"transfer-encoding: chunked" if head.length is None else b"content-length: %d" % head.length
         )
@@ -308,7 +303,7 @@
         self.abort()
 
     def unsent_bytes(self) -> int:
-        return self.transport.get_write_buffer_size()
+        return unsent_bytes(self.transport)
 
     def unread_body_bytes(self) -> int:
         return len(self.unparsed) + unread_bytes(self.transport)
--- a/flintlatch/platform/limits.py
+++ b/flintlatch/platform/limits.py
@@ -14,10 +14,14 @@
 # chunk over that (`PlatformClient.on_body`); the second chunk leaves room to continue it.
 RETRY_BUFFER_BYTES = MAX_BODY + 2 * PARSE_CHUNK_BYTES
 SERVER_RECEIVE_BUFFER_BYTES = 128 * 1024  # SO_RCVBUF of a server connection; the kernel doubles it, socket(7)
-CLIENT_SEND_BUFFER_BYTES = 128 * 1024  # SO_SNDBUF of a client that is sent a long response; doubled too
+# SO_SNDBUF of a client that is sent a long response, doubled too. By default the kernel buffers up to 4 MB
+# and reports room only after a third of that has been sent: a slow reader would look like one that reads
+# nothing.
+SEND_BUFFER_BYTES = 128 * 1024
 CLIENT_WRITE_BUFFER_BYTES = 64 * 1024  # in the process, above which reading from the server is paused
 UPLOAD_PARSE_BYTES = 64 * 1024  # parsed at once of an upload; PARSE_CHUNK_BYTES applies before it starts
-TRANSFER_IDLE_TIMEOUT_S = OUTPUT_STALL_TIMEOUT_S  # without a byte from the side that has to send
+UPLOAD_IDLE_TIMEOUT_S = 15.0  # without a byte from the client or to the server, whichever is waited for
+RESPONSE_IDLE_TIMEOUT_S = 120.0  # without a byte from a server that has to send
 UPLOAD_TIMEOUT_MS = 600_000.0  # 32 MB at 64 kB/s take 500 s, and the rest is a margin
 # Of a process without connections, and of one connection of either side without input and output.
 PROCESS_BYTES, CONNECTION_BYTES = 22_000_000, 8 * 1024
@@ -35,11 +39,13 @@
 
 
 EXCHANGE_LIMITS = ExchangeLimits(
-    ProgressLimits(TRANSFER_IDLE_TIMEOUT_S, 0.0),  # no minimum rate
+    ProgressLimits(UPLOAD_IDLE_TIMEOUT_S, 0.0),  # no minimum rate, here and below
     UPLOAD_TIMEOUT_MS,
     RETRY_BUFFER_BYTES,
     # The client's write buffer, what one read may add to it, and the kernel's: it doubles SO_SNDBUF.
-    CLIENT_WRITE_BUFFER_BYTES + MAX_READ_BYTES + 2 * CLIENT_SEND_BUFFER_BYTES,
+    CLIENT_WRITE_BUFFER_BYTES + MAX_READ_BYTES + 2 * SEND_BUFFER_BYTES,
     MAX_LONG_BODY_BYTES,
     UPLOAD_PARSE_BYTES,
+    ProgressLimits(RESPONSE_IDLE_TIMEOUT_S, 0.0),
+    ProgressLimits(OUTPUT_STALL_TIMEOUT_S, 0.0),
 )
--- a/flintlatch/platform/node.py
+++ b/flintlatch/platform/node.py
@@ -19,7 +19,11 @@
 from flintlatch.net.relay import RelayAttempt
 from flintlatch.net.sending import write_body
 from flintlatch.platform.engine import ForwardedRequest
-from flintlatch.platform.limits import GATHER_TIMEOUT_S, MAX_LONG_BODY_BYTES, SERVER_RECEIVE_BUFFER_BYTES
+from flintlatch.platform.limits import (
+    GATHER_TIMEOUT_S,
+    MAX_LONG_BODY_BYTES,
+    SERVER_RECEIVE_BUFFER_BYTES,
+)
 
 
 class PlatformConnection(Connection):
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -6,12 +6,19 @@
 import asyncio
 import signal
 import socket
+import time
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
+from flintlatch.exchange import Phase, ProgressLimits
+from flintlatch.exchange import Response as Head
 from flintlatch.net import connections as connections_module
 from flintlatch.net import frontend as frontend_module
+from flintlatch.platform import front as front_module
+from flintlatch.platform.limits import EXCHANGE_LIMITS
+from tests.exchange.test_core import ExchangeDriver, Node
 from tests.http.support import front, replying
 from tests.loopback import Proxy, ScriptedServer, configuration, proxy, run, target
 from tests.test_leaving import request_head, until
@@ -193,3 +200,61 @@
         backend.close()
 
     run(test())
+
+
+def platform_exchange(owner_node: Node) -> ExchangeDriver:
+    """An exchange with the limits of the platform's protocol, whose response has begun."""
+    driver = ExchangeDriver(EXCHANGE_LIMITS)
+    driver.exchange.receive_end(0.0)
+    driver.node = owner_node
+    driver.exchange.attach(driver.now, owner_node)
+    driver.exchange.begin(driver.now, owner_node, Head(200, [], length=16 * 1024 * 1024))
+    return driver
+
+
+@pytest.mark.parametrize(("step_bytes", "step_s"), [(95_232, 23.3), (265_856, 80.0), (2_097_152, 512.0)])
+def test_a_reader_of_4_kib_a_second_is_seen_in_steps_and_not_cut_off(step_bytes: int, step_s: float) -> None:
+    """review/9: a client's machine acknowledges bytes only once a part of its receive buffer is free."""
+    node = Node()
+    driver = platform_exchange(node)
+    driver.exchange.pieces(driver.now, node, [b"x" * 300_000])
+    for _ in range(10):
+        for _ in range(int(step_s)):
+            assert driver.tick(1.0) is None
+        taken = min(step_bytes, driver.client.unsent)
+        driver.client.unsent -= taken
+        assert driver.tick(step_s % 1) is None
+        driver.exchange.pieces(driver.now, node, [b"x" * taken])
+    assert "reset" not in driver.client.calls
+
+
+def test_a_response_whose_server_writes_with_long_pauses_is_not_cut_off() -> None:
+    """Operators' picture (d): a long answer that a server was still writing slowly."""
+    node = Node()
+    driver = platform_exchange(node)
+    for _ in range(10):
+        driver.exchange.pieces(driver.now, node, [b"x"])
+        driver.client.unsent = 0
+        for _ in range(100):
+            assert driver.tick(1.0) is None
+    assert driver.exchange.phase is Phase.RESPONDING
+
+
+def test_bytes_that_the_clients_machine_takes_count_as_progress(monkeypatch: pytest.MonkeyPatch) -> None:
+    """review/9: the process's own buffer moves only once a third of the kernel's is free."""
+    one_second = ProgressLimits(1.0, 0.0)
+    limits = replace(EXCHANGE_LIMITS, progress=one_second, reader_progress=one_second)
+    monkeypatch.setattr(front_module, "EXCHANGE_LIMITS", limits)
+
+    async def test() -> None:
+        async with proxy() as p:
+            with reader_socket(p) as sock:
+                sock.sendall(request_head("slow"))
+                await answer(p, 2_000_000)
+                loop, end = asyncio.get_running_loop(), time.monotonic() + 5.0
+                while time.monotonic() < end:
+                    assert await loop.sock_recv(sock, 4096)
+                    await asyncio.sleep(0.08)
+                assert p.engine.exchanges
+
+    run(test())
