--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -109,7 +109,7 @@
         config.discovery, config.wire, revision, engine.on_list, engine.on_list_failure, from_agent
     )
     if from_agent:
-        engine.watch_agent(config.saved_list)
+        engine.watch_agent()
     else:
         engine.on_list(config.saved_list, ListKind.SAVED)
     if not listeners:
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -50,7 +50,9 @@
 from flintlatch.settings import SocketSettings
 
 MODULE_RESTART_DELAY_S = 0.1  # between the failure of a decision module and the first step of the next
-SAVED_LIST_DELAY_S = 1.0  # for the first response of an agent; then the saved list is used
+# After which a process is ready although its agent has told it no list: it refuses requests until then, but
+# an outage of the list service may last, and a start may not.
+READY_WITHOUT_LIST_S = 5.0
 MIN_ID_RETENTION_S = 4.0  # for request ids, counted from the arrival: no client waits for longer
 MAX_RECENT_IDS = 20_000
 LIST_FAILURE_LOG_INTERVAL_MS = 1000.0  # between two log lines on failures with the same reason
@@ -111,7 +113,7 @@
         memory: Budget | None = None,
     ) -> None:
         self.memory = memory or Budget(NO_LIMIT_BYTES)
-        self.settings, self.seed = settings, seed
+        self.settings, self.wire, self.seed = settings, wire, seed
         self.loop = asyncio.get_running_loop()
         self.turns = TurnSchedule(self.loop.call_soon)
         self.balancer = Balancer(settings, seed)
@@ -131,6 +133,7 @@
         self.max_deadline_ms = max(c.deadline_ms for c in settings.classes)
         self.list_revision = 0  # of the present list
         self.list_received = False  # whole, from the service
+        self.ready_without_list = False  # the first list has not come in time
         self.list_updated_ms = now_ms()  # when the service last confirmed the present list
         self.list_failure = ""  # reason of the last failed poll; empty after a success
         self.list_failures = 0  # failed polls in a row
@@ -196,6 +199,15 @@
         started = self.starts.local_ms(target.uid, target.info.started, previous_list_ms)
         return target._replace(info=target.info._replace(started=started))
 
+    def list_snapshot(self) -> Listing:
+        """The present list with the starts of servers as the service tells them, for another process."""
+        targets = []
+        for uid, backend in self.backends.backends.items():
+            start = self.starts.by_uid.get(uid)
+            info = backend.target.info._replace(started=start.unix_ms if start is not None else None)
+            targets.append(backend.target._replace(info=info))
+        return Listing(self.list_revision, True, tuple(targets))
+
     def _sample_wall_clock(self) -> None:
         step_ms = self.wall_clock.sample()
         if step_ms:
@@ -236,17 +248,21 @@
             previous_age_ms=age_ms,
         )
 
-    def watch_agent(self, saved: Listing) -> None:
-        """Polls an agent on this machine. `saved` is used only if the agent does not respond, because it may
-        contain servers whose drain already counts as known to the proxy."""
+    def watch_agent(self) -> None:
+        """Polls an agent on this machine. What the agent has counts as known to the proxy from its start on,
+        so no server is used before it has answered: any of those on an older list may have drained since."""
         assert self.discovery is not None
         self.discovery.watch()
-        self.loop.call_later(SAVED_LIST_DELAY_S, self._use_saved_list, saved)
+        self.loop.call_later(READY_WITHOUT_LIST_S, self._stop_waiting_for_list)
 
-    def _use_saved_list(self, saved: Listing) -> None:
+    def _stop_waiting_for_list(self) -> None:
         if not self.list_received:
-            log.event("saved_list_used", revision=saved.revision, servers=len(saved.targets))
-            self.on_list(saved, ListKind.SAVED)
+            log.event("ready_without_list", waited_s=READY_WITHOUT_LIST_S, failures=self.list_failures)
+            self.ready_without_list = True
+
+    def has_servers(self) -> bool:
+        """Whether clients may come: there is an active server, or no list to know one from for too long."""
+        return self.backends.active() > 0 or (self.ready_without_list and not self.list_received)
 
     def on_list_failure(self, reason: str) -> None:
         self.counts.add(ListEvent.FAILED)
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -98,7 +98,7 @@
 
     def ready(self) -> bool:
         here = not self.stopping or self.address_still_served
-        return here and not self.drained_by_operator and self.engine.backends.active() > 0
+        return here and not self.drained_by_operator and self.engine.has_servers()
 
     @property
     def keep_alive_disabled(self) -> bool:
