Hand the list of servers over to a new version

Cause: a successor received the listening socket only and began with the list of its configuration, which is older.

Change: the offer of a serving process has the list too, in the form of the list service, as a file in memory. A successor starts with it in both forms of discovery; a process without a list hands none over.

Evidence: three new forms in tests/ops/test_succession.py, of functions that the text before lacks.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -96,22 +96,26 @@
 
 
 def start(
-    config: Config, listeners: list[socket.socket] | None = None
+    config: Config, listeners: list[socket.socket] | None = None, inherited: Listing | None = None
 ) -> tuple[PlatformEngine, PlatformFrontend]:
-    """Starts the parts and accepts clients, on `listeners` if they were received from a predecessor."""
+    """Starts the parts and accepts clients. `listeners`, `inherited`: the sockets and the list of servers of
+    the predecessor, if there is one."""
     to_backends, to_clients = split_descriptors(config.sockets)
     engine, frontend = build(
         config.settings, config.wire, config.seed, to_backends, to_clients, config.memory_mb
     )
     from_agent = not config.settings.ask_for_list
-    revision = None if from_agent else config.saved_list.revision  # an agent sends a snapshot at no cost
+    # An agent sends a snapshot at no cost, and the predecessor may have followed another service.
+    revision = None if from_agent or inherited else config.saved_list.revision
     engine.discovery = Discovery(
         config.discovery, config.wire, revision, engine.on_list, engine.on_list_failure, from_agent
     )
+    if inherited is not None:
+        engine.on_list(inherited, ListKind.SAVED)
+    elif not from_agent:
+        engine.on_list(config.saved_list, ListKind.SAVED)
     if from_agent:
         engine.watch_agent()
-    else:
-        engine.on_list(config.saved_list, ListKind.SAVED)
     if not listeners:
         listeners = [retry_transient(lambda: open_listener(config.listen, shared=True))]
     frontend.serve_on(listeners)
@@ -142,7 +146,9 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     predecessor = retry_transient(lambda: find_predecessor(config.handover_folder, config.listen))
-    engine, frontend = start(config, predecessor.listeners if predecessor is not None else None)
+    listeners = predecessor.listeners if predecessor is not None else None
+    inherited = predecessor.read_list(config.wire) if predecessor is not None else None
+    engine, frontend = start(config, listeners, inherited)
     # In the same loop turn as the start, so that the handler is set before a client can see the proxy as
     # ready.
     reloader = ConfigReloader(engine, os.environ["LB_CONFIG"])
--- a/flintlatch/handover.py
+++ b/flintlatch/handover.py
@@ -6,6 +6,7 @@
 other one. One line in each direction:
 
     listeners    ->  {"count": N}, with N descriptors as ancillary data (SCM_RIGHTS, unix(7))
+    list         ->  {"bytes": N}, with the descriptor of a file in memory that holds the list of servers
     serving      ->  {"ok": true}
 """
 
@@ -35,9 +36,12 @@
         listeners: list[socket.socket],
         on_successor: Callable[[], None],
         on_successor_gone: Callable[[], None] = lambda: None,
+        list_of_servers: Callable[[], bytes] = bytes,
     ) -> None:
         """`on_successor` is called when a successor serves, `on_successor_gone` when the last connection of a
-        successor has ended. Raises OSError if the Unix socket can't be created."""
+        successor has ended. `list_of_servers` returns the list that this process has; empty: none. Raises
+        OSError if the Unix socket can't be created."""
+        self.list_of_servers = list_of_servers
         self.path, self.on_successor, self.on_successor_gone = (
             f"{prefix}+{os.getpid()}",
             on_successor,
@@ -80,6 +84,9 @@
                 response = orjson.dumps({"count": len(self.listeners)}) + b"\n"
                 socket.send_fds(connection, [response], [sock.fileno() for sock in self.listeners])
                 return
+            if line == b"list\n":
+                self._send_list(connection)
+                return
             if line == b"serving\n":
                 connection.send(b'{"ok":true}\n')
                 self.connections[connection] = True
@@ -89,6 +96,18 @@
             pass
         self._disconnect(connection)
 
+    def _send_list(self, connection: socket.socket) -> None:
+        """A file, as a list may be longer than what the socket takes at once."""
+        content = self.list_of_servers()
+        descriptor = os.memfd_create("list")
+        try:
+            with open(descriptor, "wb", closefd=False) as file:
+                file.write(content)
+            response = orjson.dumps({"bytes": len(content)}) + b"\n"
+            socket.send_fds(connection, [response], [descriptor])
+        finally:
+            os.close(descriptor)
+
     def _disconnect(self, connection: socket.socket) -> None:
         self.loop.remove_reader(connection.fileno())
         was_successor = self.connections.pop(connection)
@@ -131,6 +150,26 @@
         return [socket.socket(fileno=fd) for fd in fds]
 
 
+def receive_list(path: str) -> bytes:
+    """Returns the list of servers that the process at a path has; empty if it has or tells none."""
+    descriptors: list[int] = []
+    try:
+        with socket.socket(socket.AF_UNIX) as sock:
+            sock.settimeout(RESPONSE_TIMEOUT_S)
+            sock.connect(path)
+            sock.send(b"list\n")
+            response, descriptors, _, _ = socket.recv_fds(sock, MAX_LINE_BYTES, 1)
+        if not descriptors:
+            return b""
+        size = orjson.loads(response)["bytes"]
+        return os.pread(descriptors[0], size, 0)
+    except (OSError, orjson.JSONDecodeError, KeyError):
+        return b""
+    finally:
+        for descriptor in descriptors:
+            os.close(descriptor)
+
+
 def connect_as_successor(path: str) -> socket.socket | None:
     """Announces to the process at a path that this one serves the received sockets. Returns the connection,
     which ends with the other process, or None if that process has not confirmed."""
--- a/flintlatch/net/listing.py
+++ b/flintlatch/net/listing.py
@@ -116,6 +116,27 @@
     return Listing(revision, is_snapshot, tuple(targets), frozenset(unchanged), tuple(faults))
 
 
+def write_listing(listing: Listing, wire: SocketSettings) -> JsonObject:
+    """A list in the form that `read_listing` reads."""
+    zones = {number: name for name, number in wire.zones.items()}
+    kinds = {number: name for name, number in wire.kinds.items()}
+    state_names = {state: name for name, state in SERVER_STATES.items()}
+    targets = [
+        {
+            "uid": target.uid,
+            "endpoint": f"{target.host}:{target.port}",
+            "az": zones.get(target.info.zone),
+            "model": kinds.get(target.info.kind),
+            "pod_group": target.info.cell,
+            "state": state_names[target.info.state],
+            "capacity_hint": target.info.weight,
+            "boot_ms": target.info.started or 0,
+        }
+        for target in listing.targets
+    ]
+    return {"rev": listing.revision, "all": listing.is_snapshot, "targets": targets}
+
+
 def read_drain(entry: object) -> Target | None:
     """The target of an entry that drains or removes a server, whatever else the entry lacks; None for any
     other entry. Neither needs an address."""
--- a/flintlatch/ops/succession.py
+++ b/flintlatch/ops/succession.py
@@ -1,5 +1,5 @@
-"""Hot restart: a new process of the same proxy receives the listening socket of the one that serves. Until
-the old process has ended, both together keep within the descriptor limits of one process."""
+"""Hot restart: a new process of the same proxy receives the listening socket and the list of servers from the
+process that serves. Until that one has ended, both keep within the descriptor limits of one process."""
 
 from __future__ import annotations
 
@@ -8,19 +8,34 @@
 import socket
 from typing import NamedTuple
 
+import orjson
+
 from flintlatch import handover
 from flintlatch.net.backends import split_descriptors
 from flintlatch.net.engine import Engine
 from flintlatch.net.frontend import Frontend
 from flintlatch.net.http1 import split_address
+from flintlatch.net.listing import Listing, read_listing, write_listing
 from flintlatch.net.log import log
+from flintlatch.settings import Malformed, SocketSettings
 
 
 class Predecessor(NamedTuple):
-    """The process that served before, with the listening socket it handed over."""
+    """The process that served before, with what it handed over."""
 
     path: str  # of its offer
     listeners: list[socket.socket]
+    list_of_servers: bytes  # as JSON in the form of the list service; empty: none
+
+    def read_list(self, wire: SocketSettings) -> Listing | None:
+        """Its list of servers, which counts as known to both processes."""
+        if not self.list_of_servers:
+            return None
+        try:
+            return read_listing(orjson.loads(self.list_of_servers), wire)
+        except (orjson.JSONDecodeError, Malformed) as error:
+            log.event("inherited_list_rejected", reason=str(error))
+            return None
 
 
 def offer_path_prefix(folder: str, listen: str) -> str:
@@ -37,7 +52,7 @@
     for path in handover.find_offers(offer_path_prefix(folder, listen)):
         listeners = handover.receive_listeners(path)
         if len(listeners) == 1 and listeners[0].getsockname()[:2] == (host, port):
-            return Predecessor(path, listeners)
+            return Predecessor(path, listeners, handover.receive_list(path))
         for sock in listeners:  # a socket of another address
             sock.close()
     return None
@@ -95,10 +110,16 @@
                 self.frontend.listeners,
                 self._on_successor,
                 self._on_successor_gone,
+                self._list_of_servers,
             )
         except OSError as error:
             log(f"no successor can take the listening socket: {error}")
 
+    def _list_of_servers(self) -> bytes:
+        if not self.engine.backends.backends:
+            return b""
+        return orjson.dumps(write_listing(self.engine.list_snapshot(), self.engine.wire))
+
     def _on_successor(self) -> None:
         log("a successor serves beside this process")
         self.successor_serves = True
--- a/tests/ops/test_succession.py
+++ b/tests/ops/test_succession.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import socket
@@ -12,10 +13,12 @@
 import pytest
 
 from flintlatch import handover
+from flintlatch.__main__ import Config, start
 from flintlatch.net.backends import split_descriptors
+from flintlatch.net.listing import read_listing
 from flintlatch.ops.succession import HotRestart, find_predecessor, offer_path_prefix
 from flintlatch.standin.proxy import ProxyProcess, free_address, write
-from tests.loopback import Client, ScriptedServer, configuration, proxy, run, target
+from tests.loopback import Client, ScriptedServer, configuration, listing, proxy, run, target
 
 
 async def readiness_status(address: str) -> int:
@@ -94,6 +97,54 @@
     assert find_predecessor("", address) is None
 
 
+@pytest.mark.parametrize("lists", ["ask", "push"])
+def test_a_successor_starts_with_the_list_of_its_predecessor(lists: str, tmp_path: Path) -> None:
+    """Class of review/10: what one process was told of counts as known to the other, whatever the service
+    does meanwhile. The list of the configuration is older."""
+
+    async def test() -> None:
+        async with proxy(backends=2, lists=lists) as first:
+            drained, active = first.backends
+            asked = await first.registry.requests.get()
+            news = listing(
+                7, target("s0", drained.address, "leaving"), target("s1", active.address, boot_ms=5)
+            )
+            asked.reply(json.dumps(news).encode())
+            while first.engine.list_revision != 7:
+                await asyncio.sleep(0.001)
+            restart = HotRestart(first.engine, first.frontend, 1000)
+            restart.offer_listeners(str(tmp_path), first.frontend.address)
+            predecessor = await asyncio.to_thread(find_predecessor, str(tmp_path), first.frontend.address)
+            assert predecessor is not None
+            inherited = predecessor.read_list(first.engine.wire)
+            assert inherited == read_listing(news, first.engine.wire)
+            known = [target("s0", drained.address), target("s1", active.address)]
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps(configuration("127.0.0.1:9", *known, lists=lists)))
+            engine, frontend = start(Config({"LB_CONFIG": str(path)}), predecessor.listeners, inherited)
+            states = {uid: backend.active() for uid, backend in engine.backends.backends.items()}
+            assert states == {"s0": False, "s1": True} and frontend.ready()
+            await frontend.finish(0.0)
+            engine.close()
+            restart.close()
+
+    run(test())
+
+
+def test_a_successor_of_a_process_without_a_list_gets_none(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with proxy(lists="push") as first:
+            restart = HotRestart(first.engine, first.frontend, 1000)
+            restart.offer_listeners(str(tmp_path), first.frontend.address)
+            predecessor = await asyncio.to_thread(find_predecessor, str(tmp_path), first.frontend.address)
+            assert predecessor is not None
+            assert predecessor.read_list(first.engine.wire) is None
+            predecessor.listeners[0].close()
+            restart.close()
+
+    run(test())
+
+
 def test_two_processes_share_the_limits_until_one_has_ended(tmp_path: Path) -> None:
     # Guards against two processes that each use the full limit, although it applies to both together.
     async def test() -> None:
