Remember ids from the end of their request, and share them at a hot restart

Cause: ids were remembered for 4 s from the arrival of their request, so that of an upload of 4.5 s was forgotten at its end; and the two processes of a hot restart did not know of each other's ids.

A successor maps a table into which both processes put their ids. Files are handed over by name, the list among them.

--- a/flintlatch/__main__.py
+++ b/flintlatch/__main__.py
@@ -156,6 +156,7 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     restart = HotRestart(engine, frontend, config.sockets)
     if predecessor is not None:
+        restart.share_recent_ids(predecessor)
         retry_transient(lambda: restart.join(predecessor))
     restart.offer_listeners(config.handover_folder, config.listen)
     admin = None
--- a/flintlatch/handover.py
+++ b/flintlatch/handover.py
@@ -6,7 +6,7 @@
 other one. One line in each direction:
 
     listeners    ->  {"count": N}, with N descriptors as ancillary data (SCM_RIGHTS, unix(7))
-    list         ->  {"bytes": N}, with the descriptor of a file in memory that holds the list of servers
+    file NAME    ->  {"ok": true}, with the descriptor of a file that the process offers by this name
     serving      ->  {"ok": true}
 """
 
@@ -17,7 +17,7 @@
 import glob
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import orjson
 
@@ -36,12 +36,12 @@
         listeners: list[socket.socket],
         on_successor: Callable[[], None],
         on_successor_gone: Callable[[], None] = lambda: None,
-        list_of_servers: Callable[[], bytes] = bytes,
+        files: Mapping[str, Callable[[], int]] | None = None,
     ) -> None:
         """`on_successor` is called when a successor serves, `on_successor_gone` when the last connection of a
-        successor has ended. `list_of_servers` returns the list that this process has; empty: none. Raises
-        OSError if the Unix socket can't be created."""
-        self.list_of_servers = list_of_servers
+        successor has ended. `files`: by name, what opens a file for a successor and returns a descriptor,
+        which is closed once it is sent. Raises OSError if the Unix socket can't be created."""
+        self.files = files or {}
         self.path, self.on_successor, self.on_successor_gone = (
             f"{prefix}+{os.getpid()}",
             on_successor,
@@ -84,8 +84,9 @@
                 response = orjson.dumps({"count": len(self.listeners)}) + b"\n"
                 socket.send_fds(connection, [response], [sock.fileno() for sock in self.listeners])
                 return
-            if line == b"list\n":
-                self._send_list(connection)
+            name = line.removeprefix(b"file ").strip().decode("ascii", "replace")
+            if line.startswith(b"file ") and name in self.files:
+                self._send_file(connection, self.files[name])
                 return
             if line == b"serving\n":
                 connection.send(b'{"ok":true}\n')
@@ -96,15 +97,11 @@
             pass
         self._disconnect(connection)
 
-    def _send_list(self, connection: socket.socket) -> None:
-        """A file, as a list may be longer than what the socket takes at once."""
-        content = self.list_of_servers()
-        descriptor = os.memfd_create("list")
+    @staticmethod
+    def _send_file(connection: socket.socket, open_file: Callable[[], int]) -> None:
+        descriptor = open_file()
         try:
-            with open(descriptor, "wb", closefd=False) as file:
-                file.write(content)
-            response = orjson.dumps({"bytes": len(content)}) + b"\n"
-            socket.send_fds(connection, [response], [descriptor])
+            socket.send_fds(connection, [b'{"ok":true}\n'], [descriptor])
         finally:
             os.close(descriptor)
 
@@ -150,24 +147,32 @@
         return [socket.socket(fileno=fd) for fd in fds]
 
 
-def receive_list(path: str) -> bytes:
-    """Returns the list of servers that the process at a path has; empty if it has or tells none."""
-    descriptors: list[int] = []
-    try:
-        with socket.socket(socket.AF_UNIX) as sock:
-            sock.settimeout(RESPONSE_TIMEOUT_S)
+def receive_file(path: str, name: str) -> int | None:
+    """Returns the descriptor of a file that the process at a path offers; None if it offers none."""
+    with socket.socket(socket.AF_UNIX) as sock:
+        sock.settimeout(RESPONSE_TIMEOUT_S)
+        try:
             sock.connect(path)
-            sock.send(b"list\n")
-            response, descriptors, _, _ = socket.recv_fds(sock, MAX_LINE_BYTES, 1)
-        if not descriptors:
-            return b""
-        size = orjson.loads(response)["bytes"]
-        return os.pread(descriptors[0], size, 0)
-    except (OSError, orjson.JSONDecodeError, KeyError):
-        return b""
-    finally:
-        for descriptor in descriptors:
-            os.close(descriptor)
+            sock.send(f"file {name}\n".encode())
+            _, descriptors, _, _ = socket.recv_fds(sock, MAX_LINE_BYTES, 1)
+        except OSError:
+            return None
+    return descriptors[0] if descriptors else None
+
+
+def file_in_memory(content: bytes) -> int:
+    """The descriptor of a file that holds `content`, memfd_create(2). Raises OSError."""
+    descriptor = os.memfd_create("handover")
+    with open(descriptor, "wb", closefd=False) as file:
+        file.write(content)
+    return descriptor
+
+
+def read_file(descriptor: int) -> bytes:
+    """The content of a file, whose descriptor is closed. Raises OSError."""
+    with open(descriptor, "rb") as file:
+        file.seek(0)
+        return file.read()
 
 
 def connect_as_successor(path: str) -> socket.socket | None:
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -45,6 +45,7 @@
 from flintlatch.net.http1 import Response
 from flintlatch.net.listing import Listing, Target
 from flintlatch.net.log import log, request_log
+from flintlatch.net.recent_ids import RecentIds
 from flintlatch.net.starts import ServerStarts
 from flintlatch.net.turns import TurnSchedule
 from flintlatch.settings import SocketSettings
@@ -53,8 +54,6 @@
 # After which a process is ready although its agent has told it no list: it refuses requests until then, but
 # an outage of the list service may last, and a start may not.
 READY_WITHOUT_LIST_S = 5.0
-MIN_ID_RETENTION_S = 4.0  # for request ids, counted from the arrival: no client waits for longer
-MAX_RECENT_IDS = 20_000
 LIST_FAILURE_LOG_INTERVAL_MS = 1000.0  # between two log lines on failures with the same reason
 # The headers that a client needs to read the body. All others concern only the proxy and the backend.
 FORWARDED_RESPONSE_HEADERS = (b"content-type", b"content-encoding", b"content-language")
@@ -128,9 +127,7 @@
         self.probe_timeout_ms = wire.connect_timeout_ms
         self.discovery: Discovery | None = None
         self.requests: dict[str, PendingRequest] = {}
-        # Hashes of the ids of recent requests, which take less memory, with their arrival time, oldest first.
-        self.recent_ids: dict[int, float] = {}
-        self.max_deadline_ms = max(c.deadline_ms for c in settings.classes)
+        self.recent_ids = RecentIds()
         self.list_revision = 0  # of the present list
         self.list_received = False  # whole, from the service
         self.ready_without_list = False  # the first list has not come in time
@@ -295,9 +292,9 @@
     def accept(self, accepted: AcceptedRequest) -> bool:
         """Adds a request. False if a request with this id is open or was recently, because ids must be
         unique."""
-        if self.is_recent_id(accepted.id) or accepted.id in self.requests:
+        if accepted.id in self.recent_ids or accepted.id in self.requests:
             return False
-        self.recent_ids[hash(accepted.id)] = now_ms()
+        self.recent_ids.add(accepted.id)
         # Capped at the deadline of the class: a larger budget would distort what the decision module learns.
         budget = accepted.budget_ms
         if not accepted.uploading:
@@ -312,19 +309,6 @@
         )
         return True
 
-    def is_recent_id(self, request_id: str) -> bool:
-        """Whether a request with this id arrived recently."""
-        self._expire_recent_ids()
-        return hash(request_id) in self.recent_ids
-
-    def _expire_recent_ids(self) -> None:
-        oldest = now_ms() - max(MIN_ID_RETENTION_S * 1000, self.max_deadline_ms)
-        while self.recent_ids:
-            first = next(iter(self.recent_ids))
-            if self.recent_ids[first] > oldest and len(self.recent_ids) < MAX_RECENT_IDS:
-                break
-            del self.recent_ids[first]
-
     def client_gone(self, request_id: str) -> None:
         pending = self.requests.get(request_id)
         if pending is None or pending.completed:
@@ -450,6 +434,7 @@
                 attempt.ended for attempt in pending.attempts
             ):
                 del self.requests[pending.request.id]
+                self.recent_ids.end(pending.request.id)
                 if self.request_observer is not None:
                     self.request_observer(pending)
 
@@ -472,6 +457,7 @@
         # Answering a request may accept the next one on its connection, which belongs to the new module.
         failed, self.requests = self.requests, {}
         for pending in failed.values():
+            self.recent_ids.end(pending.request.id)
             for attempt in pending.attempts:
                 self.backends.cancel(attempt)
             if not pending.completed:
--- a/flintlatch/net/relay.py
+++ b/flintlatch/net/relay.py
@@ -119,7 +119,7 @@
         """Registers the exchange and reserves the memory that it may need; false if too little is left.
         Raises KeyError if a request with its id is open or was recently."""
         request_id = exchange.routing.id
-        if request_id in self.exchanges or self.is_recent_id(request_id) or request_id in self.requests:
+        if request_id in self.exchanges or request_id in self.recent_ids or request_id in self.requests:
             raise KeyError(request_id)
         # The maximum is reserved at once, so that no slow request runs out of memory half-way.
         memory_bytes = self.max_memory_bytes(exchange, uploading)
--- a/flintlatch/ops/succession.py
+++ b/flintlatch/ops/succession.py
@@ -1,5 +1,5 @@
-"""Hot restart: a new process of the same proxy receives the listening socket and the list of servers from the
-process that serves. Until that one has ended, both keep within the descriptor limits of one process."""
+"""Hot restart: a new process of the same proxy receives the listening socket, the list of servers and the
+recent ids of the process that serves. Until that has ended, both keep within the limits of one process."""
 
 from __future__ import annotations
 
@@ -19,6 +19,8 @@
 from flintlatch.net.log import log
 from flintlatch.settings import Malformed, SocketSettings
 
+LIST_FILE, IDS_FILE = "list", "recent-ids"  # names of what is handed over
+
 
 class Predecessor(NamedTuple):
     """The process that served before, with what it handed over."""
@@ -26,6 +28,7 @@
     path: str  # of its offer
     listeners: list[socket.socket]
     list_of_servers: bytes  # as JSON in the form of the list service; empty: none
+    recent_ids: int | None  # descriptor of the table of its recent ids
 
     def read_list(self, wire: SocketSettings) -> Listing | None:
         """Its list of servers, which counts as known to both processes."""
@@ -52,7 +55,9 @@
     for path in handover.find_offers(offer_path_prefix(folder, listen)):
         listeners = handover.receive_listeners(path)
         if len(listeners) == 1 and listeners[0].getsockname()[:2] == (host, port):
-            return Predecessor(path, listeners, handover.receive_list(path))
+            list_file = handover.receive_file(path, LIST_FILE)
+            content = handover.read_file(list_file) if list_file is not None else b""
+            return Predecessor(path, listeners, content, handover.receive_file(path, IDS_FILE))
         for sock in listeners:  # a socket of another address
             sock.close()
     return None
@@ -69,6 +74,15 @@
         self.successor_serves = False  # another process accepts from the same socket
         self.loop = asyncio.get_running_loop()
 
+    def share_recent_ids(self, predecessor: Predecessor) -> None:
+        """From now on neither process accepts an id that the other one has accepted."""
+        if predecessor.recent_ids is None:
+            return
+        try:
+            self.engine.recent_ids.join(predecessor.recent_ids)
+        except (OSError, ValueError) as error:
+            log.event("inherited_ids_rejected", reason=str(error))
+
     def join(self, predecessor: Predecessor) -> None:
         """Tells the predecessor that this process serves, and watches for its end."""
         sock = handover.connect_as_successor(predecessor.path)
@@ -110,15 +124,19 @@
                 self.frontend.listeners,
                 self._on_successor,
                 self._on_successor_gone,
-                self._list_of_servers,
+                {LIST_FILE: self._list_of_servers, IDS_FILE: self._recent_ids},
             )
         except OSError as error:
             log(f"no successor can take the listening socket: {error}")
 
-    def _list_of_servers(self) -> bytes:
+    def _list_of_servers(self) -> int:
         if not self.engine.backends.backends:
-            return b""
-        return orjson.dumps(write_listing(self.engine.list_snapshot(), self.engine.wire))
+            return handover.file_in_memory(b"")
+        snapshot = write_listing(self.engine.list_snapshot(), self.engine.wire)
+        return handover.file_in_memory(orjson.dumps(snapshot))
+
+    def _recent_ids(self) -> int:
+        return os.dup(self.engine.recent_ids.share())
 
     def _on_successor(self) -> None:
         log("a successor serves beside this process")
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -9,7 +9,7 @@
 
 from flintlatch.net import client as client_module
 from flintlatch.net import connections as connections_module
-from flintlatch.net import engine as engine_module
+from flintlatch.net import recent_ids as recent_ids_module
 from flintlatch.net.connections import ConnectionState
 from tests.loopback import Client, proxy, run
 
@@ -385,7 +385,7 @@
 
 
 def test_recent_ids_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(engine_module, "MAX_RECENT_IDS", 3)
+    monkeypatch.setattr(recent_ids_module, "MAX_RECENT_IDS", 3)
 
     async def test() -> None:
         async with proxy() as p:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -42,6 +42,7 @@
     "flintlatch.net.relay",
     "flintlatch.net.polling",
     "flintlatch.net.receiving",
+    "flintlatch.net.recent_ids",
     "flintlatch.net.request",
     "flintlatch.net.sending",
     "flintlatch.net.starts",
