Soak: reserve the program's address, and play input in small pieces

Two changes of the harness.

Cause: a port that was free a moment before was given to a connection of another process; the test forces that. ReservedAddress keeps the port, bound and not listening, for the whole run, also while the program is restarted.

Family `pieces`: uploads in chunks of 8 bytes and pipelined requests at full speed; the audit judges what others wait for. It is not drawn without being asked for, so that a seed stands for the same run as before.

--- a/flintlatch/standin/proxy.py
+++ b/flintlatch/standin/proxy.py
@@ -29,6 +29,23 @@
         return "{}:{}".format(*sock.getsockname())
 
 
+class ReservedAddress:
+    """A loopback address that no other process is given, from now on to `close`: not even the source of a
+    connection, while a proxy that listens there is restarted. The proxy shares it by SO_REUSEPORT."""
+
+    def __init__(self) -> None:
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        self.sock.bind(("127.0.0.1", 0))  # it does not listen, so it gets no connection
+
+    def __str__(self) -> str:
+        return "{}:{}".format(*self.sock.getsockname())
+
+    def close(self) -> None:
+        self.sock.close()
+
+
 def configuration(
     listen: str, discovery: str, classes: Mapping[str, RequestClass], nodes: list[Node]
 ) -> dict[str, Any]:
--- a/flintlatch/standin/soak/run.py
+++ b/flintlatch/standin/soak/run.py
@@ -18,7 +18,7 @@
 from flintlatch.standin.ledger import Ledger
 from flintlatch.standin.node import Fault, Shape
 from flintlatch.standin.process import remote_ports, unaccepted_ports
-from flintlatch.standin.proxy import ProxyProcess, configuration, free_address
+from flintlatch.standin.proxy import ProxyProcess, ReservedAddress, configuration
 from flintlatch.standin.shim import CallFault, Shim
 from flintlatch.standin.soak.audit import Audit
 from flintlatch.standin.soak.clients import BadClients, SoakClients
@@ -83,7 +83,8 @@
         self.servers: dict[str, SoakServer] = {}
         self.server_count = 0
         self.config = folder / "config.json"
-        self.address = free_address()
+        self.reserved_address = ReservedAddress()
+        self.address = str(self.reserved_address)
         self.program: ProxyProcess
         self.log_reader: asyncio.Task[None] | None = None
         self.is_up = False
@@ -126,6 +127,7 @@
         if hasattr(self, "program") and self.program.process.returncode is None:
             self.program.process.kill()
             await self.program.process.wait()
+        self.reserved_address.close()
         if self.log_reader is not None:
             self.log_reader.cancel()
         for server in self.servers.values():
@@ -379,6 +381,10 @@
             self.transfers.start_slow_readers()
         elif kind is Kind.UPLOADS:
             self.transfers.start_uploads()
+        elif kind is Kind.SMALL_CHUNKS:
+            self.transfers.start_small_chunks()
+        elif kind is Kind.PIPELINES:
+            self.transfers.start_pipelines()
         elif kind is Kind.CROWD:
             self.bad_clients.start_crowd()
         else:
--- a/flintlatch/standin/soak/schedule.py
+++ b/flintlatch/standin/soak/schedule.py
@@ -22,6 +22,7 @@
     CLOCKS = "clocks"
     CALLS = "calls"
     TRANSFERS = "transfers"
+    PIECES = "pieces"
 
 
 class Kind(Enum):
@@ -54,6 +55,8 @@
     STAYING_CLIENTS = "clients stay behind bytes that can't be read"
     SLOW_READERS = "long responses are read slowly"
     UPLOADS = "connections are reset under uploads"
+    SMALL_CHUNKS = "uploads in small chunks"
+    PIPELINES = "many pipelined requests at full speed"
 
 
 LIST_KINDS = (
@@ -68,7 +71,13 @@
     Family.CLOCKS: (Kind.STEP_CLOCK,),
     Family.CALLS: (Kind.CALL_FAULTS,),
     Family.TRANSFERS: (Kind.STAYING_CLIENTS, Kind.SLOW_READERS, Kind.UPLOADS, Kind.CLOSE_IDLE),
+    Family.PIECES: (Kind.SMALL_CHUNKS, Kind.PIPELINES),
 }
+# Drawn without being asked for. A fixed list, so that a seed stands for the same run when a family is added.
+DRAWN_FAMILIES = (
+    Family.REGISTRY, Family.SERVERS, Family.CLIENTS, Family.PROCESS, Family.CLOCKS, Family.CALLS,
+    Family.TRANSFERS,
+)  # fmt: skip
 
 
 class Event(NamedTuple):
@@ -92,7 +101,7 @@
     def draw(cls, seed: int, families: tuple[Family, ...] = ()) -> Schedule:
         """`families`: those to draw from; without any, one to three are drawn too."""
         random = Random(f"{seed}/soak")
-        drawn = families or tuple(random.sample(list(Family), random.randint(1, 3)))
+        drawn = families or tuple(random.sample(DRAWN_FAMILIES, random.randint(1, 3)))
         kinds = [kind for family in drawn for kind in FAMILY_KINDS[family]]
         events = []
         for _ in range(random.randint(MIN_EVENTS, MAX_EVENTS)):
--- a/flintlatch/standin/soak/transfers.py
+++ b/flintlatch/standin/soak/transfers.py
@@ -30,6 +30,9 @@
 READ_BYTES, READ_BYTES_PER_S = 8192, 160_000
 RECEIVE_BUFFER_BYTES = 64 * 1024
 UPLOAD_BYTES, PIECE_BYTES, PIECE_PAUSE_S = 250_000, (1024, 48 * 1024), 0.001
+SMALL_CHUNK_CLIENTS, SMALL_CHUNK, SMALL_CHUNKS = 2, b"8\r\nxxxxxxxx\r\n", 400_000
+PIPELINES, PIPELINED, PIPELINED_REQUESTS = 2, b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n", 40_000
+BLOCK_PIECES = 4096  # written at once
 UNREADABLE = (
     b"POST /answer HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
     b"\x16\x03\x01 no request\r\n\r\n",
@@ -55,6 +58,12 @@
         for _ in range(UPLOADERS):
             self._task(self._upload_repeatedly())
 
+    def start_small_chunks(self) -> None:
+        self._start(SMALL_CHUNK_CLIENTS, self._upload_in_small_chunks)
+
+    def start_pipelines(self) -> None:
+        self._start(PIPELINES, self._pipeline)
+
     async def finish(self) -> None:
         """Waits for the clients that are still open; the program has ended."""
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -145,6 +154,41 @@
         finally:
             writer.transport.abort()
 
+    async def _upload_in_small_chunks(self, since_ms: float) -> None:
+        """Sends a long body in chunks of a few bytes; the audit judges what others wait for meanwhile."""
+        reader, writer = await self._connect()
+        try:
+            record, message = self._request("/purchase/long", "Transfer-Encoding: chunked\r\n")
+            record.deadline_ms = inf  # its time counts from its last byte
+            writer.write(message)
+            await self._write_pieces(writer, SMALL_CHUNK, SMALL_CHUNKS)
+            writer.write(b"0\r\n\r\n")
+            answer = (await reader.readuntil(b"\r\n")).decode().strip()
+            self._judge(not answer.startswith("HTTP/1.1 "), since_ms, f"an upload in small chunks: {answer}")
+        finally:
+            writer.transport.abort()
+
+    async def _pipeline(self, since_ms: float) -> None:
+        """Sends requests that are answered at once, without waiting for their answers, which it reads."""
+        reader, writer = await self._connect()
+        reading = asyncio.create_task(self._read_all(reader))
+        try:
+            await self._write_pieces(writer, PIPELINED, PIPELINED_REQUESTS)
+        finally:
+            reading.cancel()
+            writer.transport.abort()
+
+    @staticmethod
+    async def _read_all(reader: asyncio.StreamReader) -> None:
+        while await reader.read(READ_BYTES):
+            pass
+
+    @staticmethod
+    async def _write_pieces(writer: asyncio.StreamWriter, piece: bytes, count: int) -> None:
+        for _ in range(count // BLOCK_PIECES):
+            writer.write(piece * BLOCK_PIECES)
+            await writer.drain()
+
     async def _upload_repeatedly(self) -> None:
         for _ in range(UPLOADS_EACH):
             await self._run(self._upload)
--- a/tests/standin/test_soak.py
+++ b/tests/standin/test_soak.py
@@ -9,8 +9,11 @@
 import pytest
 
 from flintlatch.api import Effect, RequestClass
+from flintlatch.net.http1 import split_address
+from flintlatch.net.listener import open_listener
 from flintlatch.standin.ledger import Execution, Ledger, RequestRecord
 from flintlatch.standin.process import unaccepted_ports
+from flintlatch.standin.proxy import ReservedAddress, free_address
 from flintlatch.standin.shim import compile_shim
 from flintlatch.standin.soak import Family, Schedule, SoakRun
 from flintlatch.standin.soak.audit import Audit, slow_start_limit
@@ -35,6 +38,22 @@
     run(test())
 
 
+def test_a_reserved_address_is_given_to_nobody_but_a_proxy() -> None:
+    """Soak seed 704: the program did not start, `Address already in use`: a connection of another process had
+    been given the port that was free a moment before."""
+    free, reserved = free_address(), ReservedAddress()
+    with socket.create_server(("127.0.0.1", 0)) as server, socket.socket() as connection:
+        connection.bind(split_address(free))
+        connection.connect(server.getsockname())
+        with pytest.raises(OSError, match="in use"):
+            open_listener(free, shared=True)
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind(split_address(str(reserved)))
+        for _ in range(2):  # a restart
+            open_listener(str(reserved), shared=True).close()
+    reserved.close()
+
+
 # The clients
 
 
