Answer uploads in time whose end waits unread, and cut the cost of slices

Cause: the time counted from the last byte that the proxy saw. The end of a chunked body in the kernel was not looked for, and the rest of any body in the client's machine was not thought of, while the server held the client back.

Change: unread bytes are looked at for the last chunk without reading them. A client with 64 KB and more unread is ahead of the server; if what is missing fits into a send buffer of 4 MB, its time counts from then on.

Evidence: two new forms in tests/test_late_connections.py failed before; another bounds the mend for slow clients.

A body by length is one slice now, accounts are looked at only where something is held, the kernel is not asked for each piece. A list that can't be read at a hand-over does not fail a start.

--- a/flintlatch/exchange/core.py
+++ b/flintlatch/exchange/core.py
@@ -20,6 +20,9 @@
 from flintlatch.exchange.terms import ExchangeLimits
 from flintlatch.exchange.transfer import Pipe, Side, Stall, Upload
 
+CLIENT_SEND_BUFFER_BYTES = 4 * 1024 * 1024  # what a client's machine keeps at most by default, tcp(7)
+HELD_BACK_BYTES = 64 * 1024  # unread of an upload: more than what is on its way between two reads
+
 
 class BodyTooLarge(Exception):
     """The request's body is longer than its limit; answered with status 413."""
@@ -88,6 +91,7 @@
         self.first_byte_s = self.request_complete_s = self.ended_s = 0.0
         # When the last byte of the request reached this machine, even if it was not read then.
         self.arrived_whole_s: float | None = None
+        self.held_back_since_s: float | None = None  # its client, which may have sent everything by then
         self.upload_pipe = Pipe(
             Side.CLIENT,
             self.upload.max_bytes + self.upload.flow_bytes,
@@ -142,12 +146,37 @@
     def look_for_end(self, now_s: float) -> None:
         """Finds out whether the request has arrived whole although its end was not read yet for lack of room:
         its client waits from then on."""
-        length = self.request.length
-        if self.arrived_whole_s is not None or length is None or self.has_ended:
+        if self.arrived_whole_s is not None or self.has_ended:
             return
-        if self.upload.total_bytes + self.client.unread_body_bytes() >= length:
+        if self._end_is_unread():
             self.arrived_whole_s = now_s - self.client.s_since_last_byte()
-            self.owner.on_request_arrived(self)
+        elif self._held_back_too_long(now_s):
+            self.arrived_whole_s = self.held_back_since_s
+        else:
+            return
+        self.owner.on_request_arrived(self)
+
+    def _end_is_unread(self) -> bool:
+        if self.request.length is None:
+            return self.client.last_chunk_is_unread()
+        return self.upload.total_bytes + self.client.unread_body_bytes() >= self.request.length
+
+    def _held_back_too_long(self, now_s: float) -> bool:
+        """Whether the client has waited for all of its budget since it may have sent everything.
+
+        Bytes that wait unread show that it is ahead of the node, and what is still missing may be in its own
+        machine, which can't be asked."""
+        unread = self.client.unread_body_bytes()
+        length = self.request.length
+        may_be_sent = length is not None and (
+            length - self.upload.total_bytes - unread <= CLIENT_SEND_BUFFER_BYTES
+        )
+        if not may_be_sent or unread < HELD_BACK_BYTES:
+            self.held_back_since_s = None
+        elif self.held_back_since_s is None:
+            self.held_back_since_s = now_s
+        since_s = self.held_back_since_s
+        return since_s is not None and (now_s - since_s) * 1000 >= self.routing.budget_ms
 
     def left_ms(self, now_s: float) -> float:
         """How long the client still waits for the response; all of its time while it sends the request."""
@@ -224,8 +253,10 @@
     def pieces(self, now_s: float, node: NodeSide, pieces: list[Piece]) -> None:
         if self.phase is not Phase.RESPONDING or node is not self.node or self.response_pipe is None:
             return
-        self._record_client_reads(now_s)
         size = sum(map(len, pieces))
+        # The kernel is asked for it: not for each piece, unless a rate is measured.
+        if size > self.response_pipe.room or self.limits.progress.least_bytes_per_s:
+            self._record_client_reads(now_s)
         # The pipe counts no more bytes than it has room for; the client's side gets all of them.
         self.response_pipe.add_arrived(now_s, min(size, self.response_pipe.room))
         self.client.pieces(pieces, size)
--- a/flintlatch/exchange/memory.py
+++ b/flintlatch/exchange/memory.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-SHARE_FRACTION = 1 / 32  # of the free memory, for one holder
+FREE_SHARES = 32  # a holder may hold this fraction of the free memory
 MIN_SHARE_BYTES = 4 * 1024  # with less, a small request could not go on
 MAX_SHARE_BYTES = 128 * 1024  # a short body, its head and one read
 NO_LIMIT_BYTES = 1 << 60
@@ -36,8 +36,10 @@
     @property
     def share_bytes(self) -> int:
         """What the holder of one account may hold now."""
-        free_bytes = max(self.limit_bytes - self.used_bytes, 0)
-        return max(MIN_SHARE_BYTES, min(int(free_bytes * SHARE_FRACTION), MAX_SHARE_BYTES))
+        share_bytes = (self.limit_bytes - self.used_bytes) // FREE_SHARES
+        if share_bytes >= MAX_SHARE_BYTES:
+            return MAX_SHARE_BYTES
+        return share_bytes if share_bytes > MIN_SHARE_BYTES else MIN_SHARE_BYTES
 
     def open_account(self) -> MemoryAccount:
         return MemoryAccount(self)
@@ -57,13 +59,16 @@
     @property
     def room_bytes(self) -> int:
         """What the holder may take in addition."""
-        return max(self.budget.share_bytes - self.held_bytes, 0)
+        room_bytes = self.budget.share_bytes - self.held_bytes
+        return room_bytes if room_bytes > 0 else 0
 
     def set_held(self, count: int) -> None:
         """Records what is held now. It may be more than the share, which shrinks as others hold more."""
         added = count - self.held_bytes
+        if not added:
+            return
         self.held_bytes = count
-        if added >= 0:
+        if added > 0:
             self.budget._add(added)
         else:
             self.budget.release(-added)
--- a/flintlatch/exchange/sides.py
+++ b/flintlatch/exchange/sides.py
@@ -47,6 +47,9 @@
     def unread_body_bytes(self) -> int:
         """Bytes of the request's body that the machine has and this side has not read or passed on yet."""
 
+    def last_chunk_is_unread(self) -> bool:
+        """Whether what this side has not read ends with the last chunk of the request's body."""
+
     def s_since_last_byte(self) -> float:
         """Seconds since the machine received the last byte of the client; 0 if that is not known."""
 
--- a/flintlatch/http/front.py
+++ b/flintlatch/http/front.py
@@ -333,6 +333,9 @@
     def unsent_bytes(self) -> int:
         return unsent_bytes(self.transport)
 
+    def receive_limit(self) -> int:
+        return MAX_READ_BYTES  # what a request holds is reserved, or bounded by the limits of a head
+
     def response_room(self) -> int:
         return max(WRITE_HIGH_WATER_BYTES - self.transport.get_write_buffer_size(), 0)
 
@@ -340,6 +343,9 @@
         """Nothing: the time of a request counts from when its end is read."""
         return 0
 
+    def last_chunk_is_unread(self) -> bool:
+        return False
+
     def s_since_last_byte(self) -> float:
         return 0.0
 
--- a/flintlatch/net/client.py
+++ b/flintlatch/net/client.py
@@ -178,7 +178,7 @@
 
     def update_account(self) -> None:
         """Records what is held for this client."""
-        if self.state is ConnectionState.CLOSED or self.parser is None:
+        if self.state is ConnectionState.CLOSED or self.parser is None or self.holds_nothing():
             return
         held = len(self.unparsed) + self.partial_bytes()
         held += sum(message.held_bytes() for message in self.queue)
@@ -186,10 +186,20 @@
             held += self.transport.get_write_buffer_size()
         self.account.set_held(held)
 
+    def holds_nothing(self) -> bool:
+        """Whether nothing is held now, nor was when it was recorded last: so with most requests."""
+        return not (
+            self.account.held_bytes
+            or self.unparsed
+            or self.request_started
+            or self.writing_blocked
+            or self.queue
+        )
+
     def _refuse_beyond_share(self) -> None:
         """Refuses an incomplete request that takes more memory than one client may hold now, before anything
         of it is sent to a server."""
-        if self.request_started and self.partial_bytes() > self.account.budget.share_bytes:
+        if self.partial_bytes() > self.account.budget.share_bytes:
             self._reject(503)
 
     def pause_writing(self) -> None:
@@ -242,8 +252,8 @@
                 break
             chunk, self.unparsed = self.unparsed[:size], self.unparsed[size:]
             self._parse(chunk)
-            self._refuse_beyond_share()
-            self.update_account()
+            if self.request_started:
+                self._refuse_beyond_share()
         self._update_state()
         self.update_account()
 
@@ -337,7 +347,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # Trailers are dropped, as they must not be taken for checked headers; only their size is counted.
-        if self._head_done or self.closing:
+        if self._head_done:
             return
         if len(self._headers) >= MAX_FIELDS:
             self._reject(431)
--- a/flintlatch/net/polling.py
+++ b/flintlatch/net/polling.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import fcntl
+import os
 import select
+import socket
 import struct
 
 SIOCOUTQ, FIONREAD = 0x5411, 0x541B  # linux/sockios.h, asm-generic/ioctls.h
@@ -32,6 +34,15 @@
     return _ask_for_count(descriptor, FIONREAD)
 
 
+def peek(descriptor: int, size: int) -> bytes:
+    """Up to `size` bytes of a connection, which stay unread; none if that fails."""
+    try:
+        with socket.socket(fileno=os.dup(descriptor)) as connection:
+            return connection.recv(size, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except OSError:
+        return b""
+
+
 def _ask_for_count(descriptor: int, request: int) -> int:
     try:
         return int(INT.unpack(fcntl.ioctl(descriptor, request, bytes(INT.size)))[0])
--- a/flintlatch/net/receiving.py
+++ b/flintlatch/net/receiving.py
@@ -16,10 +16,10 @@
 
 from flintlatch.net.clock import now_ms
 from flintlatch.net.guard import bugs
-from flintlatch.net.polling import has_event, readable_bytes
+from flintlatch.net.polling import has_event, peek, readable_bytes
 from flintlatch.net.turns import MAX_READ_BYTES, TurnSchedule
 
-SLICE_BYTES = 16 * 1024  # handed to a connection at once
+SLICE_BYTES = 16 * 1024  # handed to a connection at once, if it may be many small pieces
 MIN_READ_BYTES = 2 * 1024  # whatever room is left: a connection without room pauses reading
 # The member tcpi_last_data_recv of struct tcp_info, linux/tcp.h.
 LAST_DATA_RECEIVED, LAST_DATA_RECEIVED_AT = struct.Struct("=I"), 52
@@ -38,6 +38,10 @@
         """Bytes that the next read may bring."""
         return MAX_READ_BYTES
 
+    def slice_limit(self) -> int:
+        """Bytes that may be handed on at once."""
+        return SLICE_BYTES
+
     def on_callback_error(self) -> None:
         """A callback has raised: gives what the connection works for an outcome, in any state."""
         raise NotImplementedError
@@ -69,6 +73,10 @@
         """Bytes that were read from the socket and not handed on yet."""
         return len(self._pending) - self._position
 
+    def pending_tail(self, size: int) -> bytes:
+        """The last of these bytes."""
+        return self._pending[max(self._position, len(self._pending) - size) :]
+
     # Callbacks of the transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -77,17 +85,20 @@
         self._call("connection_made", lambda: self.connection.connection_made(transport))
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        limit = max(MIN_READ_BYTES, min(self.connection.receive_limit(), MAX_READ_BYTES))
-        return self.turns.read_buffer[:limit]
+        limit = self.connection.receive_limit()
+        if limit >= MAX_READ_BYTES:
+            return self.turns.read_buffer
+        return self.turns.read_buffer[: max(limit, MIN_READ_BYTES)]
 
     def buffer_updated(self, nbytes: int) -> None:
         data = bytes(self.turns.read_buffer[:nbytes])
-        self._pending = self._pending[self._position :] + data if self.pending_bytes else data
+        self._pending = self._pending[self._position :] + data if self._pending else data
         self._position = 0
         self.received_ms = now_ms()
         if not self._paused:
             self.turns.submit(self)
-        self._update_reading()
+        if self._pending:
+            self._update_reading()
 
     def eof_received(self) -> bool | None:
         self._ended = True
@@ -103,7 +114,7 @@
         self._ended = True
         self.turns.discard(self)
         if self.connection.reads_after_loss and not self._handling:
-            while self.pending_bytes:
+            while self._pending:
                 self._hand_on_slice()
         self._drop_pending()
         self._call("connection_lost", lambda: self.connection.connection_lost(exc))
@@ -115,20 +126,26 @@
     def handle_slice(self) -> bool:
         if self.transport is None or self.transport.is_closing():
             self._drop_pending()
-        if not self.pending_bytes or self._paused:
+        if not self._pending or self._paused:
             return False
         self._hand_on_slice()
-        self._update_reading()
-        return self.pending_bytes > 0 and not self._paused
+        if not self._reading:
+            self._update_reading()
+        return bool(self._pending) and not self._paused
 
     def _hand_on_slice(self) -> None:
-        data = self._pending[self._position : self._position + SLICE_BYTES]
-        self._position += len(data)
-        if not self.pending_bytes:
+        data, limit = self._pending, self.connection.slice_limit()
+        if len(data) - self._position > limit:
+            data = data[self._position : self._position + limit]
+            self._position += limit
+        else:
+            data = data[self._position :] if self._position else data
             self._drop_pending()
         self._handling = True
         try:
-            self._call("data_received", lambda: self.connection.data_received(data))
+            self.connection.data_received(data)
+        except Exception as error:
+            self._fail("data_received", error)
         finally:
             self._handling = False
 
@@ -143,12 +160,13 @@
 
     def resume(self) -> None:
         self._paused = False
-        if self.pending_bytes and not self._handling:
+        if self._pending and not self._handling:
             self.turns.enqueue(self)
-        self._update_reading()
+        if not self._reading:
+            self._update_reading()
 
     def _update_reading(self) -> None:
-        reading = not self._paused and not self.pending_bytes
+        reading = not self._paused and not self._pending
         transport = self.transport
         if reading is self._reading or transport is None or transport.is_closing() or self._ended:
             return
@@ -212,6 +230,20 @@
     return pending_bytes(transport) + readable_bytes(transport.get_extra_info("socket").fileno())
 
 
+def unread_tail(transport: asyncio.Transport, max_bytes: int, tail_bytes: int = 16) -> bytes:
+    """The last bytes that have arrived on this connection and that it has not got yet; none if more than
+    `max_bytes` wait in the kernel."""
+    if transport.is_closing():
+        return b""
+    protocol = transport.get_protocol()
+    tail = protocol.pending_tail(tail_bytes) if isinstance(protocol, Receiver) else b""
+    descriptor = transport.get_extra_info("socket").fileno()
+    size = readable_bytes(descriptor)
+    if not size:
+        return tail
+    return (tail + peek(descriptor, size)[-tail_bytes:])[-tail_bytes:] if size <= max_bytes else b""
+
+
 def ms_since_last_data(transport: asyncio.Transport) -> float:
     """Milliseconds since the kernel received the last bytes on this connection, tcp(7); infinite if the
     kernel does not tell."""
--- a/flintlatch/net/recent_ids.py
+++ b/flintlatch/net/recent_ids.py
@@ -74,22 +74,25 @@
     def __init__(self) -> None:
         self._times: dict[int, float] = {}  # by key; the oldest first
         self._shared: SharedIds | None = None
+        self._latest_id, self._latest_key = "", key_of("")  # a request is looked for several times in a row
 
     def __len__(self) -> int:
         return len(self._times)
 
     def __contains__(self, request_id: str) -> bool:
-        self._expire()
-        key = key_of(request_id)
-        return key in self._times or (self._shared is not None and key in self._shared)
+        key = self._key_of(request_id)
+        remembered_ms = self._times.get(key)
+        if remembered_ms is not None and remembered_ms > now_ms() - RETENTION_MS:
+            return True
+        return self._shared is not None and key in self._shared
 
     def add(self, request_id: str) -> None:
         """A request has arrived."""
-        self._remember(key_of(request_id), OPEN_RETENTION_MS)
+        self._remember(self._key_of(request_id), OPEN_RETENTION_MS)
 
     def end(self, request_id: str) -> None:
         """The request has ended, and so has its last attempt: its id is remembered from now on."""
-        self._remember(key_of(request_id), RETENTION_MS)
+        self._remember(self._key_of(request_id), RETENTION_MS)
 
     def share(self) -> int:
         """The descriptor of the table, which is made if there is none. Raises OSError."""
@@ -103,16 +106,20 @@
         """Shares the table of another process. Raises OSError or ValueError."""
         self._shared = SharedIds(descriptor)
 
+    def _key_of(self, request_id: str) -> int:
+        if request_id != self._latest_id:
+            self._latest_id, self._latest_key = request_id, key_of(request_id)
+        return self._latest_key
+
     def _remember(self, key: int, shared_for_ms: float) -> None:
         now = now_ms()
         self._times.pop(key, None)
         self._times[key] = now
         if self._shared is not None:
             self._shared.put(key, now + shared_for_ms)
-        self._expire()
+        self._expire(now - RETENTION_MS)
 
-    def _expire(self) -> None:
-        oldest_ms = now_ms() - RETENTION_MS
+    def _expire(self, oldest_ms: float) -> None:
         while self._times:
             key = next(iter(self._times))
             if self._times[key] > oldest_ms and len(self._times) <= MAX_RECENT_IDS:
--- a/flintlatch/net/turns.py
+++ b/flintlatch/net/turns.py
@@ -39,7 +39,7 @@
 
     def submit(self, source: InputSource) -> None:
         """Handles new input: a share of it now, if this turn has time left, and the rest in later turns."""
-        if source in self._waiting:
+        if self._waiting and source in self._waiting:
             return
         if self._spent_s >= TURN_LIMIT_S or self._handle_share(source):
             self.enqueue(source)
@@ -73,7 +73,8 @@
 
     def _handle_share(self, source: InputSource) -> bool:
         """Handles slices until CONNECTION_SHARE_S is used up. Returns whether the source has more."""
-        self._schedule()
+        if not self._is_scheduled:
+            self._schedule()
         started_s = self._clock()
         while True:
             has_more = source.handle_slice()
--- a/flintlatch/ops/succession.py
+++ b/flintlatch/ops/succession.py
@@ -55,14 +55,24 @@
     for path in handover.find_offers(offer_path_prefix(folder, listen)):
         listeners = handover.receive_listeners(path)
         if len(listeners) == 1 and listeners[0].getsockname()[:2] == (host, port):
-            list_file = handover.receive_file(path, LIST_FILE)
-            content = handover.read_file(list_file) if list_file is not None else b""
-            return Predecessor(path, listeners, content, handover.receive_file(path, IDS_FILE))
+            return Predecessor(path, listeners, receive_list(path), handover.receive_file(path, IDS_FILE))
         for sock in listeners:  # a socket of another address
             sock.close()
     return None
 
 
+def receive_list(path: str) -> bytes:
+    """The list of servers of the process at a path; empty if it has none, or none can be had."""
+    descriptor = handover.receive_file(path, LIST_FILE)
+    if descriptor is None:
+        return b""
+    try:
+        return handover.read_file(descriptor)
+    except OSError as error:
+        log.event("inherited_list_rejected", reason=str(error))
+        return b""
+
+
 class HotRestart:
     """Connects this process with its predecessor and with its successor."""
 
--- a/flintlatch/platform/front.py
+++ b/flintlatch/platform/front.py
@@ -14,9 +14,10 @@
 from flintlatch.net.engine import Answer
 from flintlatch.net.frontend import Frontend
 from flintlatch.net.http1 import MAX_BODY, MAX_HEAD
-from flintlatch.net.receiving import ms_since_last_data, unread_bytes
+from flintlatch.net.receiving import SLICE_BYTES, ms_since_last_data, unread_bytes, unread_tail
 from flintlatch.net.request import Message, Reader, RequestError, check_framing
 from flintlatch.net.sending import limit_send_buffer, unsent_bytes, write_body
+from flintlatch.net.turns import MAX_READ_BYTES
 from flintlatch.platform.engine import ForwardedRequest, PlatformEngine
 from flintlatch.platform.limits import (
     CLIENT_WRITE_BUFFER_BYTES,
@@ -26,6 +27,10 @@
     UPLOAD_PARSE_BYTES,
 )
 
+LAST_CHUNK = b"\r\n0\r\n\r\n"  # with the end of the chunk before it; without trailers
+QUIET_S = 0.05  # without a byte of an upload before its unread end is looked at
+MAX_EXAMINED_BYTES = 4 * 1024 * 1024  # unread, as they are copied to look at their end
+
 
 @dataclass(slots=True)
 class IncomingBody:
@@ -49,6 +54,7 @@
         self.response_chunked = False  # whether the response being sent is chunked
         self.processing = False
         self.upload_pieces: list[bytes] = []  # parsed, and not handed to the exchange yet
+        self.examined_bytes = 0  # unread bytes when their end was last looked at
 
     def connection_lost(self, exc: Exception | None) -> None:
         exchange, self.exchange, self.incoming = self.exchange, None, None
@@ -75,6 +81,10 @@
         share_bytes = min(self.account.budget.share_bytes, CLIENT_WRITE_BUFFER_BYTES)
         return max(share_bytes - self.transport.get_write_buffer_size(), 0)
 
+    def holds_nothing(self) -> bool:
+        exchange = self.exchange
+        return super().holds_nothing() and (exchange is None or not exchange.upload.buffered_bytes)
+
     def update_account(self) -> None:
         super().update_account()
         exchange = self.exchange
@@ -102,6 +112,8 @@
             return min(incoming.exchange.room, UPLOAD_PARSE_BYTES)
         if incoming is not None and incoming.is_long(len(self._body)):
             return 0  # earlier requests of the connection are answered first
+        if incoming is not None and incoming.length is not None:
+            return incoming.length - len(self._body)  # one piece, up to the end of the request
         return super().parse_limit()
 
     def may_read_ahead(self) -> bool:
@@ -208,7 +220,7 @@
         now_s = now_ms() / 1000
         if self._body:
             incoming.exchange.receive_body(now_s, [bytes(self._body)])
-        self._body, self._headers = bytearray(), []
+        self._body, self._headers, self.examined_bytes = bytearray(), [], 0
         incoming.exchange.offer(now_s)
 
     def _open(self, request: ForwardedRequest, routing: RoutingInfo, uploading: bool) -> Exchange:
@@ -250,6 +262,12 @@
         self.unparsed, self.keep_alive = b"", False
         exchange.reject_request(now_ms() / 1000, status)
 
+    def slice_limit(self) -> int:
+        incoming = self.incoming
+        if incoming is None or incoming.length is None:
+            return SLICE_BYTES
+        return MAX_READ_BYTES  # a body by length is one piece
+
     # `ClientSide` of an exchange
 
     def interim(self, head: Response) -> None:
@@ -280,8 +298,9 @@
 
     def pieces(self, pieces: list[Piece], size: int) -> None:
         write_body(self.transport, pieces, size, self.response_chunked)
-        self.update_account()
-        self._apply_backpressure()
+        if self.writing_blocked:
+            self.update_account()
+            self._apply_backpressure()
 
     def end(self, trailers: Fields) -> None:
         if self.response_chunked:
@@ -308,6 +327,14 @@
     def unread_body_bytes(self) -> int:
         return len(self.unparsed) + unread_bytes(self.transport)
 
+    def last_chunk_is_unread(self) -> bool:
+        unread = self.unread_body_bytes()
+        if not unread or unread == self.examined_bytes or self.s_since_last_byte() < QUIET_S:
+            return False  # it still sends, or was examined
+        self.examined_bytes = unread
+        tail = self.unparsed + unread_tail(self.transport, MAX_EXAMINED_BYTES)
+        return tail.endswith(LAST_CHUNK)
+
     def s_since_last_byte(self) -> float:
         # What is unread has arrived after what was read last.
         longest_ms = max(now_ms() - self.last_data_ms, 0.0)
--- a/flintlatch/platform/node.py
+++ b/flintlatch/platform/node.py
@@ -16,8 +16,10 @@
 from flintlatch.net.clock import now_ms
 from flintlatch.net.engine import FORWARDED_RESPONSE_HEADERS
 from flintlatch.net.http1 import MAX_BODY, MAX_FRAMED_FACTOR, MAX_HEAD, Response
+from flintlatch.net.receiving import SLICE_BYTES
 from flintlatch.net.relay import RelayAttempt
 from flintlatch.net.sending import write_body
+from flintlatch.net.turns import MAX_READ_BYTES
 from flintlatch.platform.engine import ForwardedRequest
 from flintlatch.platform.limits import (
     GATHER_TIMEOUT_S,
@@ -124,11 +126,14 @@
     # Receiving the response
 
     def receive_limit(self) -> int:
-        exchange = self.exchange
-        if self.streaming and exchange is not None:
-            return exchange.client.response_room()
+        if self.streaming and self.exchange is not None:
+            return self.exchange.client.response_room()
         return self.account.room_bytes
 
+    def slice_limit(self) -> int:
+        # A body by length is one piece.
+        return MAX_READ_BYTES if self.body_length is not None else SLICE_BYTES
+
     def accepts_framing(self, lengths: list[bytes], codings: list[bytes]) -> bool:
         if self._status != 200 or self.exchange is None:
             return super().accepts_framing(lengths, codings)
--- a/tests/exchange/test_core.py
+++ b/tests/exchange/test_core.py
@@ -34,7 +34,7 @@
 class Client:
     def __init__(self) -> None:
         self.calls: list[str] = []
-        self.unsent = self.received = 0
+        self.unsent = self.received = self.unread = 0
 
     def interim(self, head: Response) -> None:
         self.calls.append("interim")
@@ -70,7 +70,10 @@
         return 1000
 
     def unread_body_bytes(self) -> int:
-        return 0
+        return self.unread
+
+    def last_chunk_is_unread(self) -> bool:
+        return False
 
     def s_since_last_byte(self) -> float:
         return 0.0
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -5,17 +5,21 @@
 import asyncio
 import socket
 import time
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-from typing import cast
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from typing import Any, cast
 
 import pytest
 
 from flintlatch.api import ServerState
+from flintlatch.exchange.core import HELD_BACK_BYTES
 from flintlatch.net.backends import Backends, Connection
 from flintlatch.net.listing import Listing
 from flintlatch.net.sending import unsent_bytes
+from flintlatch.platform.front import PlatformClient
+from flintlatch.platform.limits import EXCHANGE_LIMITS
 from flintlatch.platform.node import PlatformConnection
+from tests.exchange.test_core import ExchangeDriver
 from tests.loopback import Client, Proxy, ReceivedRequest, proxy, run
 from tests.test_leaving import until
 
@@ -215,28 +219,60 @@
     run(test())
 
 
+def small_buffers(monkeypatch: pytest.MonkeyPatch, *connections: type) -> None:
+    """Limits the buffers of the kernel for connections of these classes."""
+    for connection in connections:
+        connection_made = connection.connection_made  # type: ignore[attr-defined]
+        is_server = connection is PlatformConnection
+        option = socket.SO_SNDBUF if is_server else socket.SO_RCVBUF
+        size = SMALL_BUFFER_BYTES if is_server else HELD_BACK_BYTES
+
+        def made(
+            self: Any,
+            transport: asyncio.BaseTransport,
+            connection_made: Any = connection_made,
+            option: int = option,
+            size: int = size,
+        ) -> None:
+            transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, option, size)
+            connection_made(self, transport)
+
+        monkeypatch.setattr(connection, "connection_made", made)
+
+
+@contextmanager
+def silent_server(p: Proxy) -> Iterator[None]:
+    """In the place of the only server one that accepts connections and reads nothing."""
+    (backend,) = p.engine.backends.backends.values()
+    with socket.socket() as silent:
+        silent.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        silent.bind(("127.0.0.1", 0))
+        silent.listen()
+        backend.target = backend.target._replace(port=silent.getsockname()[1])
+        yield
+
+
+@pytest.mark.parametrize("chunked", [False, True])
 def test_an_upload_that_its_server_does_not_read_is_answered_once_its_client_has_sent_it(
-    monkeypatch: pytest.MonkeyPatch,
+    chunked: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The kernel has the end of the body, which can't be read for lack of room."""
-    connection_made = PlatformConnection.connection_made
-
-    def connection_made_with_small_buffer(self: PlatformConnection, transport: asyncio.BaseTransport) -> None:
-        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
-        connection_made(self, transport)
-
-    monkeypatch.setattr(PlatformConnection, "connection_made", connection_made_with_small_buffer)
+    small_buffers(monkeypatch, PlatformConnection)
 
     async def test() -> None:
         async with proxy() as p:
-            (backend,) = p.engine.backends.backends.values()
-            with socket.socket() as silent:  # nobody reads from it
-                silent.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
-                silent.bind(("127.0.0.1", 0))
-                silent.listen()
-                backend.target = backend.target._replace(port=silent.getsockname()[1])
+            with silent_server(p):
                 client = await p.client()
-                client.send(x_call_id="up", body=b"u" * SIZE, x_budget_ms="400")
+                if chunked:
+                    client.send(
+                        x_call_id="up",
+                        x_budget_ms="400",
+                        content_length=None,
+                        transfer_encoding="chunked",
+                    )
+                    client.writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (SIZE, b"u" * SIZE))
+                else:
+                    client.send(x_call_id="up", body=b"u" * SIZE, x_budget_ms="400")
                 transport = cast(asyncio.Transport, client.writer.transport)
                 await until(lambda: not unsent_bytes(transport))  # the request is taken
                 exchange = p.engine.exchanges["up"]
@@ -245,3 +281,42 @@
                     assert (await client.reply()).status in (503, 504)
 
     run(test())
+
+
+def test_an_upload_whose_rest_waits_in_its_clients_machine_is_answered_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Operators' picture (d): the client has written all of it, and the proxy's machine has no room."""
+    small_buffers(monkeypatch, PlatformConnection, PlatformClient)
+
+    async def test() -> None:
+        async with proxy() as p:
+            with silent_server(p):
+                client = await p.client()
+                client.send(x_call_id="up", body=b"u" * (4 * SIZE), x_budget_ms="400")
+                await client.writer.drain()
+                transport = cast(asyncio.Transport, client.writer.transport)
+                async with asyncio.timeout(0.4 + 0.5):
+                    assert (await client.reply()).status in (503, 504)
+                assert not transport.get_write_buffer_size() and unsent_bytes(transport)
+
+    run(test())
+
+
+def test_a_client_is_not_held_back_while_its_server_takes_what_it_sends() -> None:
+    """A short time for the answer does not end a long upload that goes on, however slow its client is."""
+    driver = ExchangeDriver(EXCHANGE_LIMITS, 1_000_000)
+    driver.exchange.offer(0.0)
+    driver.connect()
+    for unread in (0, 200_000, 0, 200_000, 1000) * 4:
+        driver.client.unread = unread
+        driver.send_body(10_000)
+        driver.take()
+        driver.now += 0.9  # of a budget of 1 s
+        driver.exchange.look_for_end(driver.now)
+        assert driver.exchange.arrived_whole_s is None
+    driver.client.unread = 200_000
+    driver.exchange.look_for_end(driver.now)
+    driver.now += 1.0
+    driver.exchange.look_for_end(driver.now)
+    assert driver.exchange.left_ms(driver.now) <= 0
--- a/tests/test_recent_ids.py
+++ b/tests/test_recent_ids.py
@@ -34,7 +34,9 @@
     clock.ms += recent_ids_module.RETENTION_MS - 1
     assert "upload" in ids and "other" not in ids
     clock.ms += 2
-    assert "upload" not in ids and not len(ids)
+    assert "upload" not in ids
+    ids.add("other")
+    assert len(ids) == 1
 
 
 @pytest.mark.parametrize("first", ["old", "new"])
