--- a/flintlatch/net/connections.py
+++ b/flintlatch/net/connections.py
@@ -4,7 +4,7 @@
 
 | state     | ended by                                                      | may be evicted               |
 | --------- | ------------------------------------------------------------- | ---------------------------- |
-| READING   | a complete request, REQUEST_READ_TIMEOUT_S                    | after EVICTION_GRACE_MS      |
+| READING   | a complete request, REQUEST_READ_TIMEOUT_S                    | after an eviction grace      |
 | IDLE      | the next request, the idle timeout                            | yes                          |
 | SERVING   | the last response (its deadline, the limits of its transfer)  | no                           |
 | FINISHING | as SERVING                                                    | no                           |
@@ -33,6 +33,9 @@
 REQUEST_READ_TIMEOUT_S = 2.5
 CROWDED_IDLE_TIMEOUT_S = 2.0  # between two requests, while over half of the connection limit is in use
 EVICTION_GRACE_MS = 250.0  # for a new connection at the limit, whose first request is on the way
+# The same while others wait to be accepted, whose requests may have arrived: their wait is the length of the
+# queue over the connections that this grace lets go in a second.
+CROWDED_EVICTION_GRACE_MS = 25.0
 LINGER_TIMEOUT_S = 1.0  # for the peer to close once it has the last response; then the connection is aborted
 # For the peer to take a byte of what is written to it. Its machine tells of room in its receive buffer in
 # steps of 64 KB up to a sixteenth of the buffer, which may be some MB: a client that reads 4 KiB a second is
@@ -72,6 +75,7 @@
 
     transport: asyncio.Transport
     state: ConnectionState
+    request_started: bool  # a request has begun and is not complete
     reading_since_ms: float  # since when the client could have sent the rest of an incomplete request
     progress: OutputProgress | None  # set while the peer has to take bytes
 
@@ -135,22 +139,20 @@
         connection.state = ConnectionState.CLOSED
         self.paused.discard(connection)
 
-    def eviction_candidate(self) -> ConnectionT | None:
+    def eviction_candidate(self, is_crowded: bool = False) -> ConnectionT | None:
         """The connection to evict for a new one: one in lingering close, then one past the idle timeout under
-        load, then one that has not sent a request, and only then one that was recently active."""
-        now = now_ms()
-        for state, grace_ms in (
-            (ConnectionState.LINGERING, EVICTION_GRACE_MS),
-            (ConnectionState.IDLE, CROWDED_IDLE_TIMEOUT_S * 1000),
-            (ConnectionState.READING, EVICTION_GRACE_MS),
-            (ConnectionState.IDLE, 0.0),
-        ):
-            for connection, since_ms in self._groups[state].items():
-                if since_ms > now - grace_ms:
-                    break
-                if may_be_evicted(connection):
-                    return connection
-        return None
+        load, then one that has not sent a request, and only then one that was recently active. `is_crowded`:
+        many connections wait to be accepted."""
+        reading = self._groups[ConnectionState.READING]
+        silent = {one: since_ms for one, since_ms in reading.items() if not one.request_started}
+        grace_ms = CROWDED_EVICTION_GRACE_MS if is_crowded else EVICTION_GRACE_MS
+        return (
+            oldest_evictable(self._groups[ConnectionState.LINGERING], EVICTION_GRACE_MS)
+            or oldest_evictable(self._groups[ConnectionState.IDLE], CROWDED_IDLE_TIMEOUT_S * 1000)
+            # One that has begun a request keeps its place as long as there is one that has not.
+            or oldest_evictable(silent or reading, grace_ms if silent else EVICTION_GRACE_MS)
+            or oldest_evictable(self._groups[ConnectionState.IDLE], 0.0)
+        )
 
     def sweep(self, idle_timeout_s: float) -> None:
         """Ends the connections that are past a time limit, so that no peer can hold one forever."""
@@ -185,6 +187,17 @@
         return overdue
 
 
+def oldest_evictable(group: dict[ConnectionT, float], grace_ms: float) -> ConnectionT | None:
+    """The first connection of a group that may be evicted and has been in it for longer than `grace_ms`."""
+    latest_ms = now_ms() - grace_ms
+    for connection, since_ms in group.items():
+        if since_ms > latest_ms:
+            return None
+        if may_be_evicted(connection):
+            return connection
+    return None
+
+
 def may_be_evicted(connection: ManagedConnection) -> bool:
     """Whether nothing is lost with the connection: unread bytes in the kernel are a request that was sent in
     time, and unsent ones are a response."""
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -15,7 +15,7 @@
 from flintlatch.net.connections import ClientConnections, ConnectionState
 from flintlatch.net.counts import CloseReason
 from flintlatch.net.engine import Engine
-from flintlatch.net.listener import open_listener
+from flintlatch.net.listener import open_listener, queued_connections
 from flintlatch.net.log import log
 from flintlatch.net.receiving import Receiver
 from flintlatch.net.request import Reader
@@ -31,7 +31,8 @@
 FINAL_FLUSH_S = 0.05  # at the end of a stop, for the last responses to be sent
 FINAL_TRANSFERS_S = 60.0  # and for long responses that clients still read
 FINAL_TRANSFERS_INTERVAL_S = 0.02  # between two looks whether there are any
-FULL_RETRY_DELAY_S = 0.05  # between two looks whether a client may be evicted
+FULL_RETRY_DELAY_S = 0.01  # between two looks whether a client may be evicted
+CROWDED_QUEUE = 16  # connections that wait to be accepted, from which on idle ones are evicted sooner
 # After an accept that failed, doubled with each further failure: connections that wait are served in time if
 # it fails for a moment only.
 MIN_ACCEPT_RETRY_DELAY_S, MAX_ACCEPT_RETRY_DELAY_S = 0.001, 0.05
@@ -153,7 +154,10 @@
     def _accept_one(self, listener: socket.socket) -> AcceptResult:
         """Accepts one connection from the kernel's queue, if there is one."""
         full = self.connection_count >= self.max_connections
-        evicted = self.clients.eviction_candidate() if full else None
+        evicted = None
+        if full:
+            is_crowded = queued_connections(listener) >= CROWDED_QUEUE
+            evicted = self.clients.eviction_candidate(is_crowded)
         if full and evicted is None:
             return AcceptResult.FULL
         try:
--- a/flintlatch/net/listener.py
+++ b/flintlatch/net/listener.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import socket
+import struct
 
 from flintlatch.net.http1 import split_address
 
 LISTEN_BACKLOG = 512
+# The member tcpi_unacked of struct tcp_info, linux/tcp.h: of a listening socket, its queued connections.
+QUEUED, QUEUED_AT, TCP_INFO_BYTES = struct.Struct("=I"), 24, 104
 
 
 def open_listener(address: str, shared: bool = False) -> socket.socket:
@@ -24,3 +27,12 @@
         sock.close()
         raise
     return sock
+
+
+def queued_connections(listener: socket.socket) -> int:
+    """Connections that wait to be accepted; 0 if the kernel does not tell."""
+    try:
+        info = listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        return int(QUEUED.unpack_from(info, QUEUED_AT)[0])
+    except (OSError, struct.error):
+        return 0
