Keep the pieces of long answers small, so that slow readers hold no more than counted

Cause: with slices of 64 KB for bodies by length eight crowds one after another took a process to 66.5 MB of 64. The accounts were the same: the transport keeps a piece as a whole until its last byte is sent, and the heap had larger gaps.

Change: only short bodies are one slice; long answers come in 16 KiB again.

--- a/flintlatch/platform/node.py
+++ b/flintlatch/platform/node.py
@@ -131,8 +131,10 @@
         return self.account.room_bytes
 
     def slice_limit(self) -> int:
-        # A body by length is one piece.
-        return MAX_READ_BYTES if self.body_length is not None else SLICE_BYTES
+        # A short body by length is one piece. Of a long one pieces stay small: the transport to the client
+        # keeps each as a whole until its last byte is sent.
+        is_short = not self.streaming and self.body_length is not None
+        return MAX_READ_BYTES if is_short else SLICE_BYTES
 
     def accepts_framing(self, lengths: list[bytes], codings: list[bytes]) -> bool:
         if self._status != 200 or self.exchange is None:
