Count what is held for a client once, however often its account is updated

Cause: the kept body of a request was added to the account after an update that may have returned early, so each further update of a connection that was ending added it again, until the connection was lost.

Change: one method tells what is held; both classes of client extend it.

Evidence: a test in tests/test_memory.py failed before: 20,000 bytes for a body of 5,000.

--- a/flintlatch/net/client.py
+++ b/flintlatch/net/client.py
@@ -180,11 +180,15 @@
         """Records what is held for this client."""
         if self.state is ConnectionState.CLOSED or self.parser is None or self.holds_nothing():
             return
+        self.account.set_held(self.held_bytes())
+
+    def held_bytes(self) -> int:
+        """The memory that is held for this client now."""
         held = len(self.unparsed) + self.partial_bytes()
         held += sum(message.held_bytes() for message in self.queue)
         if self.writing_blocked:  # otherwise the kernel takes the rest at once
             held += self.transport.get_write_buffer_size()
-        self.account.set_held(held)
+        return held
 
     def holds_nothing(self) -> bool:
         """Whether nothing is held now, nor was when it was recorded last: so with most requests."""
--- a/flintlatch/platform/front.py
+++ b/flintlatch/platform/front.py
@@ -85,12 +85,11 @@
         exchange = self.exchange
         return super().holds_nothing() and (exchange is None or not exchange.upload.buffered_bytes)
 
-    def update_account(self) -> None:
-        super().update_account()
-        exchange = self.exchange
-        # The buffer of a long upload is reserved as a whole.
-        if exchange is not None and not self.engine.reserved_bytes.get(exchange.routing.id):
-            self.account.set_held(self.account.held_bytes + exchange.upload.buffered_bytes)
+    def held_bytes(self) -> int:
+        held, exchange = super().held_bytes(), self.exchange
+        if exchange is None or self.engine.reserved_bytes.get(exchange.routing.id):
+            return held  # the buffer of a long upload is reserved as a whole
+        return held + exchange.upload.buffered_bytes
 
     # Reading requests
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -196,6 +196,28 @@
     run(test())
 
 
+def test_an_account_is_the_same_however_often_it_is_updated() -> None:
+    """The kept body of a request was added again with each update of a connection that was ending."""
+
+    async def test() -> None:
+        async with proxy() as p:
+            client = await p.client()
+            client.send("/answer", x_call_id="one", body=b"x" * 5000)
+            await p.backends[0].requests.get()
+            (accepted,) = p.frontend.clients
+            for _ in range(3):
+                accepted.update_account()
+                assert 5000 <= p.engine.memory.used_bytes < 6000
+            accepted.abort()
+            for _ in range(3):
+                accepted.update_account()
+            assert p.engine.memory.used_bytes < 6000
+            await until(lambda: not p.frontend.clients)
+            assert not p.engine.memory.used_bytes
+
+    run(test())
+
+
 def test_the_shares_of_all_holders_stay_within_the_budget() -> None:
     budget = Budget(10 * 1024 * 1024)
     accounts = [budget.open_account() for _ in range(1000)]
