--- a/flintlatch/net/polling.py
+++ b/flintlatch/net/polling.py
@@ -13,7 +13,7 @@
 
 # A signal ends poll(2) with EINTR. Without a time to wait, Python then returns no event instead of asking
 # again (PEP 475 repeats only what remains of the timeout).
-POLL_ATTEMPTS = 3
+POLL_ATTEMPTS = 5
 
 
 def has_event(descriptor: int, events: int) -> bool:
