Answer uploads in time whose rest waits in the client's machine, also in chunks

Cause: a time counted from where the proxy looks. While a server does not read, the client's machine takes up to a send buffer, and the client waits from its last write on.

Change: exchange/arrival.py estimates since when a client that is held back may have written everything; its time counts from there whether the end is seen, read or only possible. A client counts as held back only while the proxy's buffer is full for lack of a server that takes more and its receive window is closed (SO_MEMINFO), so a client that is slow itself, or that the proxy's own pace holds up, is not meant.

`test_a_client_is_not_held_back...` calls `tick`, which now looks for the end; its asserts are the same.

--- a/flintlatch/exchange/core.py
+++ b/flintlatch/exchange/core.py
@@ -15,12 +15,12 @@
 from enum import Enum
 from typing import Protocol
 
+from flintlatch.exchange.arrival import WriteEstimate
 from flintlatch.exchange.messages import Ending, Fields, Piece, ProxyResponse, Request, Response, RoutingInfo
 from flintlatch.exchange.sides import ClientSide, NodeSide
 from flintlatch.exchange.terms import ExchangeLimits
 from flintlatch.exchange.transfer import Pipe, Side, Stall, Upload
 
-CLIENT_SEND_BUFFER_BYTES = 4 * 1024 * 1024  # what a client's machine keeps at most by default, tcp(7)
 HELD_BACK_BYTES = 64 * 1024  # unread of an upload: more than what is on its way between two reads
 
 
@@ -89,9 +89,9 @@
         # First byte of the response (of a node or of the proxy), last byte of the request, end of the
         # exchange; 0: not yet.
         self.first_byte_s = self.request_complete_s = self.ended_s = 0.0
-        # When the last byte of the request reached this machine, even if it was not read then.
-        self.arrived_whole_s: float | None = None
-        self.held_back_since_s: float | None = None  # its client, which may have sent everything by then
+        # Since when the client may have written the whole request, even if it was not read then.
+        self.written_whole_s: float | None = None
+        self.write_estimate = WriteEstimate()
         self.upload_pipe = Pipe(
             Side.CLIENT,
             self.upload.max_bytes + self.upload.flow_bytes,
@@ -123,6 +123,8 @@
             raise BodyTooLarge(f"a body of more than {self.limits.body_bytes} bytes")
         self.upload_pipe.add_arrived(now_s, size)
         discarded = self.upload.add(pieces, size)
+        if self.upload.room <= 0:
+            self.write_estimate.buffer_full(now_s, self.upload.total_bytes)
         self._update_waiting_sides(now_s)
         if self.phase is Phase.GATHERING:
             if self.upload.room <= 0:
@@ -134,8 +136,8 @@
         if self.has_ended:
             return
         self.trailers, self.request_complete_s = trailers or [], now_s
-        if self.arrived_whole_s is None:
-            self.arrived_whole_s = now_s
+        if self.written_whole_s is None:
+            self._set_written_whole(now_s, self.upload.total_bytes)
         self.upload_pipe.end_source(now_s)
         self.upload.end()
         if self.phase is Phase.GATHERING:
@@ -144,45 +146,49 @@
             self.owner.on_body_received(self)
 
     def look_for_end(self, now_s: float) -> None:
-        """Finds out whether the request has arrived whole although its end was not read yet for lack of room:
-        its client waits from then on."""
-        if self.arrived_whole_s is not None or self.has_ended:
+        """Finds out whether the client may have written the whole request although its end was not read yet
+        for lack of room: the client waits from then on."""
+        if self.written_whole_s is not None or self.has_ended:
             return
         if self._end_is_unread():
-            self.arrived_whole_s = now_s - self.client.s_since_last_byte()
-        elif self._held_back_too_long(now_s):
-            self.arrived_whole_s = self.held_back_since_s
-        else:
+            self._set_written_whole(now_s - self.client.s_since_last_byte(), self._arrived_bytes())
+            self.owner.on_request_arrived(self)
+            return
+        length = self.request.length
+        shortest_bytes = self._arrived_bytes() + 1 if length is None else length
+        written_since_s = self.write_estimate.written_since(shortest_bytes)
+        if written_since_s is not None and (now_s - written_since_s) * 1000 >= self.routing.budget_ms:
+            self.written_whole_s = written_since_s
+            self.owner.on_request_arrived(self)
+
+    def _arrived_bytes(self) -> int:
+        """Bytes of the body that have reached this machine, read or not."""
+        return self.upload.total_bytes + self.client.unread_body_bytes()
+
+    def _observe_arrival(self, now_s: float) -> None:
+        if self.written_whole_s is not None or self.phase in (Phase.RESPONDING, Phase.ENDED):
             return
-        self.owner.on_request_arrived(self)
+        unread_bytes = self.client.unread_body_bytes()
+        window_closed = unread_bytes >= HELD_BACK_BYTES and self.client.receive_buffer_is_full()
+        arrived_bytes = self.upload.total_bytes + unread_bytes
+        self.write_estimate.observe(now_s, arrived_bytes, self.upload.room <= 0, window_closed)
+
+    def _set_written_whole(self, arrived_s: float, total_bytes: int) -> None:
+        """`arrived_s`: when the last byte of the request reached this machine. Of a client that was held back
+        until then it was written earlier."""
+        written_since_s = self.write_estimate.written_since(total_bytes)
+        self.written_whole_s = arrived_s if written_since_s is None else min(arrived_s, written_since_s)
 
     def _end_is_unread(self) -> bool:
         if self.request.length is None:
             return self.client.last_chunk_is_unread()
-        return self.upload.total_bytes + self.client.unread_body_bytes() >= self.request.length
-
-    def _held_back_too_long(self, now_s: float) -> bool:
-        """Whether the client has waited for all of its budget since it may have sent everything.
-
-        Bytes that wait unread show that it is ahead of the node, and what is still missing may be in its own
-        machine, which can't be asked."""
-        unread = self.client.unread_body_bytes()
-        length = self.request.length
-        may_be_sent = length is not None and (
-            length - self.upload.total_bytes - unread <= CLIENT_SEND_BUFFER_BYTES
-        )
-        if not may_be_sent or unread < HELD_BACK_BYTES:
-            self.held_back_since_s = None
-        elif self.held_back_since_s is None:
-            self.held_back_since_s = now_s
-        since_s = self.held_back_since_s
-        return since_s is not None and (now_s - since_s) * 1000 >= self.routing.budget_ms
+        return self._arrived_bytes() >= self.request.length
 
     def left_ms(self, now_s: float) -> float:
         """How long the client still waits for the response; all of its time while it sends the request."""
-        if self.arrived_whole_s is None:
+        if self.written_whole_s is None:
             return self.routing.budget_ms
-        return self.routing.budget_ms - (now_s - self.arrived_whole_s) * 1000
+        return self.routing.budget_ms - (now_s - self.written_whole_s) * 1000
 
     def offer(self, now_s: float) -> None:
         """Offers the request to the decision module without waiting for the rest of it."""
@@ -291,7 +297,10 @@
     # Stalls
 
     def tick(self, now_s: float) -> Stall | None:
-        """Ends the exchange or the attempt if one side has stalled, and returns the stall."""
+        """Ends the exchange or the attempt if one side has stalled, and returns the stall. Called at regular
+        intervals."""
+        self._observe_arrival(now_s)
+        self.look_for_end(now_s)
         stall = self._find_stall(now_s)
         if stall is None:
             return None
--- a/flintlatch/exchange/sides.py
+++ b/flintlatch/exchange/sides.py
@@ -47,6 +47,9 @@
     def unread_body_bytes(self) -> int:
         """Bytes of the request's body that the machine has and this side has not read or passed on yet."""
 
+    def receive_buffer_is_full(self) -> bool:
+        """Whether the client's machine can send nothing now, for lack of room here."""
+
     def last_chunk_is_unread(self) -> bool:
         """Whether what this side has not read ends with the last chunk of the request's body."""
 
--- a/flintlatch/http/front.py
+++ b/flintlatch/http/front.py
@@ -343,6 +343,9 @@
         """Nothing: the time of a request counts from when its end is read."""
         return 0
 
+    def receive_buffer_is_full(self) -> bool:
+        return False
+
     def last_chunk_is_unread(self) -> bool:
         return False
 
--- a/flintlatch/net/receiving.py
+++ b/flintlatch/net/receiving.py
@@ -21,9 +21,15 @@
 
 SLICE_BYTES = 16 * 1024  # handed to a connection at once, if it may be many small pieces
 MIN_READ_BYTES = 2 * 1024  # whatever room is left: a connection without room pauses reading
-# The member tcpi_last_data_recv of struct tcp_info, linux/tcp.h.
-LAST_DATA_RECEIVED, LAST_DATA_RECEIVED_AT = struct.Struct("=I"), 52
-TCP_INFO_BYTES = 104
+# The members tcpi_rcv_mss and tcpi_last_data_recv of struct tcp_info, linux/tcp.h.
+RECEIVED_SEGMENT_BYTES = struct.Struct("=20xI")
+LAST_DATA_RECEIVED = struct.Struct("=52xI")
+# SO_MEMINFO, asm-generic/socket.h, and the first members of its array, linux/sock_diag.h: the bytes that are
+# allocated to receive, and their limit.
+SO_MEMINFO, MEMORY_INFO = 55, struct.Struct("=9I")
+# The window is closed before the last byte is allocated: with room for less than a segment, RFC 9293 section
+# 3.8.6.2.2, and each byte of it may be allocated twice.
+CLOSED_WINDOW_SEGMENTS, CLOSED_WINDOW_FRACTION = 2, 0.125
 
 
 class StreamConnection(asyncio.Protocol):
@@ -230,6 +236,22 @@
     return pending_bytes(transport) + readable_bytes(transport.get_extra_info("socket").fileno())
 
 
+def receive_buffer_is_full(transport: asyncio.Transport) -> bool:
+    """Whether the receive window is closed, or nearly so: the peer's machine can't send; true if the kernel
+    does not tell."""
+    if transport.is_closing():
+        return False
+    try:
+        connection = transport.get_extra_info("socket")
+        info = connection.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, MEMORY_INFO.size)
+        allocated_bytes, limit_bytes = MEMORY_INFO.unpack(info)[:2]
+        segment_bytes = _tcp_info_member(transport, RECEIVED_SEGMENT_BYTES)
+    except (OSError, struct.error):
+        return True
+    closed_bytes = max(segment_bytes * CLOSED_WINDOW_SEGMENTS, limit_bytes * CLOSED_WINDOW_FRACTION)
+    return bool(limit_bytes - allocated_bytes < closed_bytes)
+
+
 def unread_tail(transport: asyncio.Transport, max_bytes: int, tail_bytes: int = 16) -> bytes:
     """The last bytes that have arrived on this connection and that it has not got yet; none if more than
     `max_bytes` wait in the kernel."""
@@ -248,8 +270,13 @@
     """Milliseconds since the kernel received the last bytes on this connection, tcp(7); infinite if the
     kernel does not tell."""
     try:
-        connection = transport.get_extra_info("socket")
-        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-        return float(LAST_DATA_RECEIVED.unpack_from(info, LAST_DATA_RECEIVED_AT)[0])
+        return float(_tcp_info_member(transport, LAST_DATA_RECEIVED))
     except (OSError, struct.error):
         return inf
+
+
+def _tcp_info_member(transport: asyncio.Transport, member: struct.Struct) -> int:
+    """Raises OSError or struct.error if the kernel does not tell."""
+    connection = transport.get_extra_info("socket")
+    info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, member.size)
+    return int(member.unpack(info)[0])
--- a/flintlatch/net/relay.py
+++ b/flintlatch/net/relay.py
@@ -276,7 +276,6 @@
                 exchange.client.reset()
 
     def _check_exchange(self, exchange: Exchange, now_s: float) -> None:
-        exchange.look_for_end(now_s)
         stall = exchange.tick(now_s)
         if stall is not None:
             log.event("transfer_stalled", id=exchange.routing.id, reason=stall.value)
--- a/flintlatch/platform/front.py
+++ b/flintlatch/platform/front.py
@@ -14,7 +14,13 @@
 from flintlatch.net.engine import Answer
 from flintlatch.net.frontend import Frontend
 from flintlatch.net.http1 import MAX_BODY, MAX_HEAD
-from flintlatch.net.receiving import SLICE_BYTES, ms_since_last_data, unread_bytes, unread_tail
+from flintlatch.net.receiving import (
+    SLICE_BYTES,
+    ms_since_last_data,
+    receive_buffer_is_full,
+    unread_bytes,
+    unread_tail,
+)
 from flintlatch.net.request import Message, Reader, RequestError, check_framing
 from flintlatch.net.sending import limit_send_buffer, unsent_bytes, write_body
 from flintlatch.net.turns import MAX_READ_BYTES
@@ -326,6 +332,9 @@
     def unread_body_bytes(self) -> int:
         return len(self.unparsed) + unread_bytes(self.transport)
 
+    def receive_buffer_is_full(self) -> bool:
+        return receive_buffer_is_full(self.transport)
+
     def last_chunk_is_unread(self) -> bool:
         unread = self.unread_body_bytes()
         if not unread or unread == self.examined_bytes or self.s_since_last_byte() < QUIET_S:
--- a/tests/exchange/test_core.py
+++ b/tests/exchange/test_core.py
@@ -72,6 +72,9 @@
     def unread_body_bytes(self) -> int:
         return self.unread
 
+    def receive_buffer_is_full(self) -> bool:
+        return self.unread > 0
+
     def last_chunk_is_unread(self) -> bool:
         return False
 
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
+from dataclasses import replace
 from typing import Any, cast
 
 import pytest
@@ -252,6 +253,15 @@
         yield
 
 
+def send_upload(client: Client, size: int, chunked: bool) -> None:
+    """A whole upload in one write, whose client waits for 400 ms."""
+    if not chunked:
+        client.send(x_call_id="up", body=b"u" * size, x_budget_ms="400")
+        return
+    client.send(x_call_id="up", x_budget_ms="400", content_length=None, transfer_encoding="chunked")
+    client.writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (size, b"u" * size))
+
+
 @pytest.mark.parametrize("chunked", [False, True])
 def test_an_upload_that_its_server_does_not_read_is_answered_once_its_client_has_sent_it(
     chunked: bool, monkeypatch: pytest.MonkeyPatch
@@ -263,16 +273,7 @@
         async with proxy() as p:
             with silent_server(p):
                 client = await p.client()
-                if chunked:
-                    client.send(
-                        x_call_id="up",
-                        x_budget_ms="400",
-                        content_length=None,
-                        transfer_encoding="chunked",
-                    )
-                    client.writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (SIZE, b"u" * SIZE))
-                else:
-                    client.send(x_call_id="up", body=b"u" * SIZE, x_budget_ms="400")
+                send_upload(client, SIZE, chunked)
                 transport = cast(asyncio.Transport, client.writer.transport)
                 await until(lambda: not unsent_bytes(transport))  # the request is taken
                 exchange = p.engine.exchanges["up"]
@@ -283,17 +284,19 @@
     run(test())
 
 
+@pytest.mark.parametrize("chunked", [False, True])
 def test_an_upload_whose_rest_waits_in_its_clients_machine_is_answered_in_time(
-    monkeypatch: pytest.MonkeyPatch,
+    chunked: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Operators' picture (d): the client has written all of it, and the proxy's machine has no room."""
+    size = 4 * SIZE
     small_buffers(monkeypatch, PlatformConnection, PlatformClient)
 
     async def test() -> None:
         async with proxy() as p:
             with silent_server(p):
                 client = await p.client()
-                client.send(x_call_id="up", body=b"u" * (4 * SIZE), x_budget_ms="400")
+                send_upload(client, size, chunked)
                 await client.writer.drain()
                 transport = cast(asyncio.Transport, client.writer.transport)
                 async with asyncio.timeout(0.4 + 0.5):
@@ -312,11 +315,29 @@
         driver.client.unread = unread
         driver.send_body(10_000)
         driver.take()
-        driver.now += 0.9  # of a budget of 1 s
-        driver.exchange.look_for_end(driver.now)
-        assert driver.exchange.arrived_whole_s is None
+        driver.tick(0.9)  # of a budget of 1 s
+        assert driver.exchange.written_whole_s is None
     driver.client.unread = 200_000
-    driver.exchange.look_for_end(driver.now)
-    driver.now += 1.0
-    driver.exchange.look_for_end(driver.now)
+    driver.send_body(driver.exchange.room)  # the server takes nothing any more
+    driver.tick(0.1)
+    driver.tick(1.0)
     assert driver.exchange.left_ms(driver.now) <= 0
+
+
+@pytest.mark.parametrize("length", [None, 150_000_000])
+def test_a_server_that_takes_a_send_buffer_in_the_budget_holds_no_client_back(length: int | None) -> None:
+    """The last byte of a client that writes as fast as it can was written that long ago at most."""
+    limits = replace(EXCHANGE_LIMITS, body_bytes=200_000_000)
+    driver = ExchangeDriver(limits, length)
+    driver.exchange.offer(0.0)
+    driver.connect()
+    driver.client.unread = 1_000_000
+    for _ in range(60):  # 1.7 send buffers in the budget of 1 s
+        for _ in range(24):
+            driver.send_body(driver.exchange.room)
+            driver.take()
+        driver.tick(0.25)
+        assert driver.exchange.written_whole_s is None
+    driver.exchange.receive_end(driver.now)
+    since_s = driver.now - (driver.exchange.written_whole_s or 0.0)
+    assert 0.5 < since_s < 0.8  # as its last bytes may have waited in the client's machine
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,6 +16,7 @@
     "flintlatch.api",
     "flintlatch.choice",
     "flintlatch.exchange",
+    "flintlatch.exchange.arrival",
     "flintlatch.exchange.core",
     "flintlatch.exchange.memory",
     "flintlatch.exchange.messages",
