Set the least share of every holder aside in the memory budget

The first ones held up to 64 KB each, and each later one went on with the least share, 4 KB and a read, although nothing was left.

Cause: the shares are a part of what is free, which is right only while no share is rounded up.

Change: the least shares of all that may hold something are taken off before shares are computed, up to half of the budget. The new test failed without it. The small budget of tests/test_memory.py is told its forty holders; its bounds are as they were.

--- a/flintlatch/exchange/memory.py
+++ b/flintlatch/exchange/memory.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 FREE_SHARES = 32  # a holder may hold this fraction of the free memory
+MAX_SET_ASIDE_FRACTION = 0.5  # of the budget, for the least shares of all holders
 MIN_SHARE_BYTES = 4 * 1024  # with less, a small request could not go on
 MAX_SHARE_BYTES = 128 * 1024  # a short body, its head and one read
 NO_LIMIT_BYTES = 1 << 60
@@ -17,8 +18,10 @@
 class Budget:
     """Memory for all connections together."""
 
-    def __init__(self, limit_bytes: int) -> None:
-        self.limit_bytes = limit_bytes
+    def __init__(self, limit_bytes: int, max_holders: int = 0) -> None:
+        """`max_holders`: how many may hold something at once. The least share of each is set aside, so that
+        the first ones leave it to the others."""
+        self.limit_bytes, self.max_holders = limit_bytes, max_holders
         self.used_bytes = self.peak_bytes = 0
 
     def reserve(self, count: int) -> bool:
@@ -36,7 +39,10 @@
     @property
     def share_bytes(self) -> int:
         """What the holder of one account may hold now."""
-        share_bytes = (self.limit_bytes - self.used_bytes) // FREE_SHARES
+        set_aside_bytes = min(
+            self.max_holders * MIN_SHARE_BYTES, int(self.limit_bytes * MAX_SET_ASIDE_FRACTION)
+        )
+        share_bytes = (self.limit_bytes - set_aside_bytes - self.used_bytes) // FREE_SHARES
         if share_bytes >= MAX_SHARE_BYTES:
             return MAX_SHARE_BYTES
         return share_bytes if share_bytes > MIN_SHARE_BYTES else MIN_SHARE_BYTES
--- a/flintlatch/net/relay.py
+++ b/flintlatch/net/relay.py
@@ -104,7 +104,7 @@
     ) -> None:
         """`body_bytes`: memory for what is held for all clients and servers together. `terms`: by class.
         `connection_factory`: makes a connection to a node, which is also a `NodeSide`."""
-        super().__init__(settings, wire, seed, max_connections, Budget(body_bytes))
+        super().__init__(settings, wire, seed, max_connections, Budget(body_bytes, max_connections))
         self.backends.connection_factory = connection_factory
         self.terms = terms
         self.exchanges: dict[str, Exchange] = {}
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -46,7 +46,7 @@
 @asynccontextmanager
 async def proxy_with_small_budget() -> AsyncIterator[Proxy]:
     async with proxy() as p:
-        p.engine.memory.limit_bytes = BUDGET_BYTES
+        p.engine.memory.limit_bytes, p.engine.memory.max_holders = BUDGET_BYTES, CLIENTS
         yield p
 
 
@@ -87,6 +87,16 @@
     return len(received.partition(b"\r\n\r\n")[2])
 
 
+def test_the_first_holders_leave_the_least_share_to_all_others() -> None:
+    # Guards against a crowd whose later members go on with their least share beyond the budget.
+    budget = Budget(BUDGET_BYTES, max_holders=100)
+    for _ in range(100):
+        account = budget.open_account()
+        account.set_held(account.room_bytes)
+        assert account.held_bytes >= MIN_SHARE_BYTES
+    assert BUDGET_BYTES / 2 < budget.used_bytes <= BUDGET_BYTES
+
+
 def test_long_responses_that_are_not_read_share_the_memory() -> None:
     """review/8: 200 long answers that were read slowly took the process over its memory limit."""
 
