Take a server as gone while another one at its address tells a later start

The pools then had both: the old entry's idle connections and its warm share went on to the new process.

Cause: a process was identified by its address, although the list tells an incarnation, its start.

Change: net/addresses.py leaves out entries whose address another one has with a later start, and the engine takes them as gone.

--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -37,6 +37,7 @@
 )
 from flintlatch.choice import Balancer
 from flintlatch.exchange import NO_LIMIT_BYTES, Budget
+from flintlatch.net.addresses import AddressOwners
 from flintlatch.net.backends import Attempt, Backends
 from flintlatch.net.clock import WallClock, now_ms
 from flintlatch.net.counts import Counts, ListEvent, RetryEvent
@@ -138,6 +139,7 @@
         self.counts = Counts()
         self.wall_clock = WallClock()
         self.starts = ServerStarts(self.wall_clock)
+        self.address_owners: AddressOwners | None = None  # where no two servers may share an address
         self.list_events: list[ServerList] = []
         self.events: list[Event] = []
         self.to_forget: list[PendingRequest] = []  # to be removed after the step that reports their end
@@ -159,6 +161,8 @@
             self.list_failure, self.list_failures = "", 0
         before = self._server_states()
         self._report_faults(listing)
+        if self.address_owners is not None:
+            listing = self._without_replaced(listing, self.address_owners)
         listing = self._resolve(listing)
         # The pools get a drain immediately, before any other request of this loop turn is written.
         self.list_revision = listing.revision
@@ -170,6 +174,18 @@
         self._schedule_step()
         self._report_list(kind, before, listing.is_partial)
 
+    def _without_replaced(self, listing: Listing, owners: AddressOwners) -> Listing:
+        """Takes servers as gone whose address another server of the list has now."""
+        resolution, gone = owners.resolve(listing), []
+        for uid, owner in resolution.replaced.items():
+            held = self.backends.backends.get(uid)
+            if held is not None:
+                log.event("server_replaced", uid=uid, by=owner, revision=listing.revision)
+                gone.append(held.target._replace(info=held.target.info._replace(state=ServerState.GONE)))
+        if listing.is_snapshot:
+            return resolution.listing  # it does not name them any more
+        return resolution.listing._replace(targets=(*gone, *resolution.listing.targets))
+
     def _resolve(self, listing: Listing) -> Listing:
         """Completes the entries that lack an address, adds the servers that stay as they are, and converts
         start times to the proxy's clock."""
--- a/flintlatch/platform/build.py
+++ b/flintlatch/platform/build.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from flintlatch.api import Settings
+from flintlatch.net.addresses import AddressOwners
 from flintlatch.net.request import Reader
 from flintlatch.platform.engine import PlatformEngine
 from flintlatch.platform.front import PlatformFrontend
@@ -34,4 +35,5 @@
         all_transfer_bytes=int(budget_bytes * UPLOAD_MEMORY_FRACTION),
     )
     engine = PlatformEngine(settings, wire, seed, to_backends, budget_bytes, (), PlatformConnection)
+    engine.address_owners = AddressOwners()
     return engine, PlatformFrontend(engine, Reader(settings, wire), to_clients, *accepts_per_turn)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -27,6 +27,7 @@
     "flintlatch.settings",
     "flintlatch.net",
     "flintlatch.net.allocator",
+    "flintlatch.net.addresses",
     "flintlatch.net.backends",
     "flintlatch.net.client",
     "flintlatch.net.clock",
