Share the ids of recent requests among all instances of a fleet

Cause: each instance remembered its ids alone. The class is that of: what must not happen twice is remembered by one process.

Change: the supervisor makes the table of a hot restart (SharedIds) and hands it to every instance, of each generation, and to a successor.

--- a/flintlatch/fleet/supervisor.py
+++ b/flintlatch/fleet/supervisor.py
@@ -30,6 +30,7 @@
 from flintlatch.metrics import Totals
 from flintlatch.net.clock import now_ms
 from flintlatch.net.listing import Listing
+from flintlatch.net.recent_ids import SharedIds
 
 if TYPE_CHECKING:
     from flintlatch.fleet.agreed import PeerService
@@ -96,6 +97,7 @@
         self.recent_warnings: list[str] = []
         self.spread_fd = spread.create_page()
         self.spread = spread.ConnectionSpread(self.spread_fd, 0)
+        self.recent_ids = SharedIds()  # of all instances: an id that comes again may reach another one
         self.logger: tuple[str, Any] = "", None  # the log format that it writes, and the logger
         self.totals = Totals()
         self.metrics_page: Any = None
@@ -241,6 +243,9 @@
             sock.set_inheritable(False)
             self.listeners.sockets[address, index] = sock
         self.listeners.keep_only(self.config.fleet.listen)
+        if "recent_ids" in message:  # not from an older version
+            os.set_inheritable(message["recent_ids"], False)
+            self.recent_ids = SharedIds(message["recent_ids"])
         # Continue the predecessor's numbering, so that ids are unique in a log that both processes write.
         self.core.last_generation, self.core.last_worker_id = message["generation"], message["worker"]
 
@@ -488,7 +493,12 @@
                     "flintlatch.fleet.worker",
                     str(worker_end.fileno()),
                     stdin=asyncio.subprocess.DEVNULL,
-                    pass_fds=(worker_end.fileno(), self.spread_fd, *(sock.fileno() for sock in sockets)),
+                    pass_fds=(
+                        worker_end.fileno(),
+                        self.spread_fd,
+                        self.recent_ids.descriptor,
+                        *(sock.fileno() for sock in sockets),
+                    ),
                     env=self.worker_env(),
                     # Limits the interpreter's start even if the supervisor dies: a worker that hangs there
                     # would keep the address in use forever. A pending alarm is preserved across exec
@@ -514,6 +524,7 @@
                 "list": encode_listing(node_list.snapshot()),
                 "listeners": [sock.fileno() for sock in sockets],
                 "spread": self.spread_fd,
+                "recent_ids": self.recent_ids.descriptor,
                 "worker": action.worker,
                 "words": self.peer_service.entries() if self.peer_service is not None else [],
             }
@@ -662,7 +673,11 @@
                     "fleet",
                     self.config.path,
                     stdin=asyncio.subprocess.DEVNULL,
-                    pass_fds=(successor_end.fileno(), *(sock.fileno() for sock in sockets.values())),
+                    pass_fds=(
+                        successor_end.fileno(),
+                        self.recent_ids.descriptor,
+                        *(sock.fileno() for sock in sockets.values()),
+                    ),
                     env=env,
                 )
         except OSError as error:
@@ -673,6 +688,7 @@
             {
                 "kind": "takeover",
                 "listeners": [[address, index, sock.fileno()] for (address, index), sock in sockets.items()],
+                "recent_ids": self.recent_ids.descriptor,
                 "generation": self.core.last_generation,
                 "worker": self.core.last_worker_id,
             }
--- a/tests/fleet/test_daemon.py
+++ b/tests/fleet/test_daemon.py
@@ -18,7 +18,7 @@
 from flintlatch.standin.node import Shape
 from flintlatch.standin.process import FleetProcess, alive, remote_ports
 from flintlatch.standin.rig import MIX
-from tests.fleet.support import HeldCalls, daemon, none_left, run
+from tests.fleet.support import Daemon, HeldCalls, daemon, none_left, run
 from tests.loopback import Client
 
 SMALL: dict[str, Any] = {"fleet": {"instances": 2}}
@@ -416,3 +416,30 @@
             harness.assert_rules_kept()
 
     run(test())
+
+
+@pytest.mark.parametrize("change", ["none", "reload", "upgrade"])
+def test_an_id_that_comes_again_runs_once_in_all_processes_of_a_fleet(tmp_path: Path, change: str) -> None:
+    # Operators' picture (c): the second request with an id may reach another instance, also of another
+    # generation or of a successor.
+    async def ask(harness: Daemon, number: int) -> int:
+        client = await Client.open(harness.fleet.address)
+        reply = await client.ask("/exam", x_call_id=f"again{number}", x_budget_ms="2000")
+        client.close()
+        return reply.status
+
+    async def test() -> None:
+        async with daemon(tmp_path, 3) as harness:
+            assert [await ask(harness, number) for number in range(12)] == [200] * 12
+            if change != "none":
+                assert (await harness.fleet.ask(change))["ok"]
+            assert [await ask(harness, number) for number in range(12)] == [400] * 12
+            ids = [node_run.id for node_run in harness.rig.ledger.runs]
+            assert len(ids) == len(set(ids)) >= 12
+            if change == "upgrade":
+                harness.pids.add((await harness.fleet.status())["pid"])
+                await harness.pids_now()
+                await harness.fleet.ask("stop")
+                await harness.fleet.process.wait()
+
+    run(test())
