Tests: give each test the log's lines per second, whatever the tests before it have logged

Seen: test_each_change_of_the_list_is_logged_with_time_version_and_states failed once in a partial run with six workers; not again in 32 runs beside load, nor in two runs of the same selection.

Cause: the log writes 20 lines a second for the whole process, and tests that run within one second of each other share them. With 25 lines logged before it the test fails in the same line in the same way (no list_applied in what was captured).

Change: a fixture sets the counts of both loggers back before each test. No assert is changed. After a test that logs 25 lines the test failed before, and passes now.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,10 +14,19 @@
 
 import pytest
 
+from flintlatch.net.log import log, request_log
+
 SERIAL_FILES = ("tests/fleet/test_daemon", "tests/fleet/test_heir", "tests/test_bench", "test_fleet.py")
 KNOWN_RED_FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
+@pytest.fixture(autouse=True)
+def whole_log_allowance() -> None:
+    """Gives each test the lines per second of the process's log, which tests before it may have used up."""
+    for logger in (log, request_log):
+        logger.second, logger.lines, logger.dropped = 0, 0, 0
+
+
 def known_red_tests() -> list[str]:
     """The ids of the listed tests."""
     if not KNOWN_RED_FILE.exists():
