Ask the kernel for TCP_INFO and SO_MEMINFO in one place

Left behind: listener.py and receiving.py each unpacked struct tcp_info with offsets of their own, and receiving.py unpacked SO_MEMINFO beside it. net/polling.py, which asks for everything else, has both now, as typed results that are None where the kernel does not tell.

An instance that a supervisor of an older version starts, as within an upgrade, gets no table of ids and does without.

--- a/flintlatch/fleet/worker.py
+++ b/flintlatch/fleet/worker.py
@@ -165,7 +165,8 @@
         else:
             self.engine = Engine(settings, wire, seed, to_backends)
             self.frontend = Frontend(self.engine, Reader(settings, wire), to_clients, ACCEPTS_PER_TURN_SHARED)
-        self.engine.recent_ids.join(message["recent_ids"])
+        if "recent_ids" in message:  # not from a supervisor of an older version
+            self.engine.recent_ids.join(message["recent_ids"])
         if self.config.access_log is not None or self.config.fleet.metrics:
             from flintlatch.fleet.observe import Observer  # imported only if configured
 
--- a/flintlatch/net/listener.py
+++ b/flintlatch/net/listener.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import socket
-import struct
 
 from flintlatch.net.http1 import split_address
+from flintlatch.net.polling import TcpInfo, tcp_info
 
 LISTEN_BACKLOG = 512
-# The member tcpi_unacked of struct tcp_info, linux/tcp.h: of a listening socket, its queued connections.
-QUEUED, QUEUED_AT, TCP_INFO_BYTES = struct.Struct("=I"), 24, 104
 
 
 def open_listener(address: str, shared: bool = False) -> socket.socket:
@@ -31,8 +29,4 @@
 
 def queued_connections(listener: socket.socket) -> int:
     """Connections that wait to be accepted; 0 if the kernel does not tell."""
-    try:
-        info = listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-        return int(QUEUED.unpack_from(info, QUEUED_AT)[0])
-    except (OSError, struct.error):
-        return 0
+    return tcp_info(listener, TcpInfo.QUEUED_CONNECTIONS) or 0
--- a/flintlatch/net/receiving.py
+++ b/flintlatch/net/receiving.py
@@ -8,25 +8,17 @@
 
 import asyncio
 import select
-import socket
-import struct
 from collections.abc import Callable
 from math import inf
 from typing import cast
 
 from flintlatch.net.clock import now_ms
 from flintlatch.net.guard import bugs
-from flintlatch.net.polling import has_event, peek, readable_bytes
+from flintlatch.net.polling import TcpInfo, has_event, peek, readable_bytes, receive_memory, tcp_info
 from flintlatch.net.turns import MAX_READ_BYTES, TurnSchedule
 
 SLICE_BYTES = 16 * 1024  # handed to a connection at once, if it may be many small pieces
 MIN_READ_BYTES = 2 * 1024  # whatever room is left: a connection without room pauses reading
-# The members tcpi_rcv_mss and tcpi_last_data_recv of struct tcp_info, linux/tcp.h.
-RECEIVED_SEGMENT_BYTES = struct.Struct("=20xI")
-LAST_DATA_RECEIVED = struct.Struct("=52xI")
-# SO_MEMINFO, asm-generic/socket.h, and the first members of its array, linux/sock_diag.h: the bytes that are
-# allocated to receive, and their limit.
-SO_MEMINFO, MEMORY_INFO = 55, struct.Struct("=9I")
 # The window is closed before the last byte is allocated: with room for less than a segment, RFC 9293 section
 # 3.8.6.2.2, and each byte of it may be allocated twice.
 CLOSED_WINDOW_SEGMENTS, CLOSED_WINDOW_FRACTION = 2, 0.125
@@ -241,15 +233,13 @@
     does not tell."""
     if transport.is_closing():
         return False
-    try:
-        connection = transport.get_extra_info("socket")
-        info = connection.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, MEMORY_INFO.size)
-        allocated_bytes, limit_bytes = MEMORY_INFO.unpack(info)[:2]
-        segment_bytes = _tcp_info_member(transport, RECEIVED_SEGMENT_BYTES)
-    except (OSError, struct.error):
+    connection = transport.get_extra_info("socket")
+    memory = receive_memory(connection)
+    segment_bytes = tcp_info(connection, TcpInfo.RECEIVED_SEGMENT_BYTES)
+    if memory is None or segment_bytes is None:
         return True
-    closed_bytes = max(segment_bytes * CLOSED_WINDOW_SEGMENTS, limit_bytes * CLOSED_WINDOW_FRACTION)
-    return bool(limit_bytes - allocated_bytes < closed_bytes)
+    closed_bytes = max(segment_bytes * CLOSED_WINDOW_SEGMENTS, memory.limit_bytes * CLOSED_WINDOW_FRACTION)
+    return memory.limit_bytes - memory.allocated_bytes < closed_bytes
 
 
 def unread_tail(transport: asyncio.Transport, max_bytes: int, tail_bytes: int = 16) -> bytes:
@@ -269,14 +259,5 @@
 def ms_since_last_data(transport: asyncio.Transport) -> float:
     """Milliseconds since the kernel received the last bytes on this connection, tcp(7); infinite if the
     kernel does not tell."""
-    try:
-        return float(_tcp_info_member(transport, LAST_DATA_RECEIVED))
-    except (OSError, struct.error):
-        return inf
-
-
-def _tcp_info_member(transport: asyncio.Transport, member: struct.Struct) -> int:
-    """Raises OSError or struct.error if the kernel does not tell."""
-    connection = transport.get_extra_info("socket")
-    info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, member.size)
-    return int(member.unpack(info)[0])
+    since_ms = tcp_info(transport.get_extra_info("socket"), TcpInfo.MS_SINCE_LAST_DATA)
+    return inf if since_ms is None else float(since_ms)
