Compare the starts of servers at one address by the proxy's clock, not the wall clock

Callers would have seen: after the wall clock was stepped back between two starts, a new server at the address of one that is still listed was left out in place of the old one. Where only changes are told it was not named again, so it stayed out after the old entry had gone.

Cause: compared starts as the list tells them, before the engine converts them.

Change: entries are compared after the conversion (net/starts.py), which knows of steps.

Result: test_a_step_of_the_wall_clock_does_not_make_the_new_server_the_older_one, by an hour back and forward: the form back failed on, both pass now.

--- a/flintlatch/net/addresses.py
+++ b/flintlatch/net/addresses.py
@@ -24,7 +24,7 @@
     """What the list tells of one server."""
 
     address: Address
-    started_unix_ms: float  # -inf: long ago
+    started_ms: float  # by the proxy's clock, whatever the wall clock did; -inf: long ago
 
 
 class Resolution(NamedTuple):
@@ -40,7 +40,7 @@
         self._uids: dict[Address, set[str]] = {}
 
     def resolve(self, listing: Listing) -> Resolution:
-        """Takes a listing, whose starts are as the service tells them."""
+        """Takes a listing, whose starts are by the proxy's clock."""
         if listing.is_snapshot:
             named = {target.uid for target in listing.targets} | listing.unchanged
             for uid in [uid for uid in self._entries if uid not in named]:
@@ -57,8 +57,8 @@
             self._forget(target.uid)
         elif target.host:  # otherwise a drain, which tells nothing of the address
             self._forget(target.uid)
-            started_unix_ms = target.info.started if target.info.started is not None else -inf
-            entry = ToldEntry(Address(target.host, target.port), started_unix_ms)
+            started_ms = target.info.started if target.info.started is not None else -inf
+            entry = ToldEntry(Address(target.host, target.port), started_ms)
             self._entries[target.uid] = entry
             self._uids.setdefault(entry.address, set()).add(target.uid)
 
@@ -75,8 +75,8 @@
         entry = self._entries.get(uid)
         if entry is None or len(self._uids[entry.address]) == 1:
             return uid
-        latest = max(self._uids[entry.address], key=lambda other: self._entries[other].started_unix_ms)
-        return latest if self._entries[latest].started_unix_ms > entry.started_unix_ms else uid
+        latest = max(self._uids[entry.address], key=lambda other: self._entries[other].started_ms)
+        return latest if self._entries[latest].started_ms > entry.started_ms else uid
 
     def _replaced_by(self, uid: str) -> list[tuple[str, str]]:
         """The servers at the address of `uid` that have started earlier, if none has started later."""
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -161,9 +161,9 @@
             self.list_failure, self.list_failures = "", 0
         before = self._server_states()
         self._report_faults(listing)
+        listing = self._resolve(listing)
         if self.address_owners is not None:
             listing = self._without_replaced(listing, self.address_owners)
-        listing = self._resolve(listing)
         # The pools get a drain immediately, before any other request of this loop turn is written.
         self.list_revision = listing.revision
         self.backends.update(listing.targets, listing.is_snapshot)
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
@@ -10,6 +11,7 @@
 from flintlatch.net.addresses import AddressOwners
 from flintlatch.net.listing import Listing, Target
 from tests.loopback import proxy, run
+from tests.test_clock import SteppedTime
 
 OLD, NEW = "old", "new"
 LONG_AGO, NOW_MS = None, 1_700_000_000_000.0
@@ -92,3 +94,23 @@
             assert len(new.idle_connections) == 1
 
     run(test())
+
+
+@pytest.mark.parametrize("step_ms", [-3_600_000.0, 3_600_000.0])
+def test_a_step_of_the_wall_clock_does_not_make_the_new_server_the_older_one(
+    step_ms: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against comparing starts that the list tells as times of a clock that was stepped between them.
+    stepped = SteppedTime(monkeypatch)
+
+    async def test() -> None:
+        async with proxy() as p:
+            (old,) = p.engine.backends.backends.values()
+            for uid in (OLD, NEW):
+                info = old.target.info._replace(server=uid, started=time.time() * 1000)
+                p.engine.on_list(delta(old.target._replace(uid=uid, info=info)))
+                await asyncio.sleep(0.05)
+                stepped.step(step_ms)
+            assert list(p.engine.backends.backends) == [NEW]
+
+    run(test())
