--- a/flintlatch/standin/node.py
+++ b/flintlatch/standin/node.py
@@ -247,7 +247,9 @@
         self.timers.add(timer)
 
     def response_body(self, call: Call) -> bytes:
-        return f"{self.uid} {call.id}".encode()
+        """Names the node and the request, or has as many bytes as the request asks for."""
+        size = call.url.partition(b"?size=")[2]
+        return b"." * int(size) if size else f"{self.uid} {call.id}".encode()
 
     def _record_execution(self, call: Call, effect: bool) -> None:
         key = call.key.decode("latin-1") if call.key is not None else None
--- a/flintlatch/standin/soak/servers.py
+++ b/flintlatch/standin/soak/servers.py
@@ -58,10 +58,6 @@
         if url.startswith(LONG_UPLOAD) and first_bytes and self.random.random() < RESET_PROBABILITY:
             connection.transport.abort()
 
-    def response_body(self, call: Call) -> bytes:
-        size = call.url.partition(b"?size=")[2]
-        return b"." * int(size) if size else super().response_body(call)
-
     def crash(self) -> None:
         self.audit.interrupted_ms = now_ms()
         super().crash()
--- a/tests/test_late_connections.py
+++ b/tests/test_late_connections.py
@@ -175,6 +175,32 @@
     run(test())
 
 
+@pytest.mark.parametrize("held_s", [0.2, 0.6])
+def test_a_second_server_is_told_what_is_left_to_a_client_whose_machine_holds_the_rest(
+    held_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Soak seed 91180: told 899 ms, 581 were left; the client had written its last byte while none was read.
+    budget_ms, size = 3000.0, 400_000
+
+    async def test() -> None:
+        async with held_connections(monkeypatch) as gate, proxy() as p:
+            gate.opened.clear()
+            client = await p.client()
+            client.send(x_call_id="up", content_length=str(size), x_budget_ms=f"{budget_ms:.0f}")
+            transport = cast(asyncio.Transport, client.writer.transport)
+            client.writer.write(b"u" * size)
+            async with asyncio.timeout(2.0):
+                await until(lambda: gate.waiting and not transport.get_write_buffer_size())
+            await asyncio.sleep(held_s)
+            gate.opened.set()
+            received = await only_request(p)
+            assert int(received.headers["x-budget-ms"]) <= budget_ms - held_s * 1000 + BUDGET_SLACK_MS
+            received.reply(b"stored")
+            assert (await client.reply()).body == b"stored"
+
+    run(test())
+
+
 def test_an_upload_that_was_discarded_while_its_connection_came_up_is_answered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -13,7 +13,7 @@
 from flintlatch.http.body import Body
 from flintlatch.net import turns as turns_module
 from flintlatch.net.client import Client as AcceptedClient
-from flintlatch.net.receiving import SLICE_BYTES
+from flintlatch.net.receiving import SLICE_BYTES, Receiver
 from flintlatch.net.turns import TurnSchedule
 from flintlatch.platform.front import PlatformClient
 from flintlatch.platform.node import PlatformConnection
@@ -191,6 +191,57 @@
     run(test())
 
 
+@pytest.mark.parametrize("behind_body", [False, True])
+def test_a_slice_of_pipelined_requests_ends_within_the_share_of_a_connection(
+    behind_body: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Evidence 3 of issue 64: hundreds of readiness calls were handled in one slice."""
+    handle, ready, longest_s, clock = AcceptedClient._handle, READY, 0.0, [0.0]
+
+    def slow_handle(client: AcceptedClient, message: Any) -> None:
+        clock[0] += turns_module.CONNECTION_SHARE_S / 20
+        handle(client, message)
+
+    def measured(receiver: Receiver) -> bool:
+        nonlocal longest_s
+        began_s, has_more = clock[0], handle_slice(receiver)
+        longest_s = max(longest_s, clock[0] - began_s)
+        return has_more
+
+    handle_slice = Receiver.handle_slice
+    monkeypatch.setattr(AcceptedClient, "_handle", slow_handle)
+    monkeypatch.setattr(Receiver, "handle_slice", measured)
+
+    async def test() -> None:
+        async with proxy() as p:
+            p.engine.turns._clock = lambda: clock[0]
+            body = HEAD + b"content-length: 20000\r\n\r\n" + b"x" * 20_000 if behind_body else b""
+            async with sent(p.frontend.address, body + ready * 1000) as reader:
+                if behind_body:
+                    (await p.backends[0].requests.get()).reply()
+                for _ in range(1000):
+                    await reader.readuntil(b"\r\n\r\n")
+            assert 0.0 < longest_s <= turns_module.CONNECTION_SHARE_S
+
+    run(test())
+
+
+def test_a_connection_that_has_used_less_is_served_before_those_at_full_speed() -> None:
+    # Guards against equal shares by connection: many connections at full speed take the whole loop.
+    handled: list[str] = []
+    clock, calls = [0.0], []  # type: ignore[var-annotated]
+    schedule = TurnSchedule(calls.append, lambda: clock[0])
+    for number in range(50):
+        schedule.submit(Source(f"busy {number}", 1000, handled, clock))
+    for _ in range(100):
+        calls.pop()()
+    for name in ("anew 0", "anew 1", "other"):  # the first two use up the time for new input
+        schedule.submit(Source(name, 2, handled, clock))
+    assert handled[-1] == "anew 1"
+    calls.pop()()
+    assert "other" in handled[-2:]
+
+
 @pytest.mark.parametrize("handler", [take_upload, give_chunks])
 def test_small_chunks_do_not_hold_the_loop_over_ordinary_http(
     handler: Callable[..., Awaitable[None]], monkeypatch: pytest.MonkeyPatch
