Keep a process of 32 MB within its limit under crowds: no OpenSSL, input counted, a plan

What callers saw: 400 clients at once took a process of 32 MB to 60.8 MB resident, and a start under returning clients to 46.5; the platform kills it, and every request with it.

Cause: what a turn reads was in no account before it was parsed, and each connection read up to its share at once (some 20 MB); of pipelined requests up to 40 were parsed ahead, as objects, for each connection; the budget had a fixed figure for the process, 22 MB, and a floor whether or not so much was left; connections and requests were bounded by descriptors alone; OpenSSL took 4.6 MB of a process that speaks no TLS.

Change: Receiver counts what it has read and not handed on; heads are parsed in pieces of 512 bytes; platform/memory.py divides what the limit leaves over the measured process among connections, requests and bytes (32 MB: some 340 connections); beyond it a request is refused before it is sent, and a connection waits or takes the place of an idle one; MemoryControl looks at the resident size 20 times a second and takes what is too much off the budget; what only the start needed is given back; imports asyncio and uvloop without OpenSSL. The program moves from __main__ to program.py. A short body is taken by a small budget too (request_share_bytes): 60 kB were refused at 32 MB even with nothing else held.

--- a/flintlatch/exchange/memory.py
+++ b/flintlatch/exchange/memory.py
@@ -9,6 +9,9 @@
 from __future__ import annotations
 
 FREE_SHARES = 32  # a holder may hold this fraction of the free memory
+REQUEST_FREE_SHARES = (
+    4  # and a request that arrives this one, so that a short body is taken by a small budget
+)
 MAX_SET_ASIDE_FRACTION = 0.5  # of the budget, for the least shares of all holders
 MIN_SHARE_BYTES = 4 * 1024  # with less, a small request could not go on
 MAX_SHARE_BYTES = 128 * 1024  # a short body, its head and one read
@@ -23,12 +26,13 @@
         the first ones leave it to the others."""
         self.limit_bytes, self.max_holders = limit_bytes, max_holders
         self.used_bytes = self.peak_bytes = 0
+        self.excess_bytes = 0  # by which the process is too large: so much less may be held
 
     def reserve(self, count: int) -> bool:
         """Reserves `count` bytes; returns false and reserves nothing if less is left."""
-        if count and self.used_bytes + count > self.limit_bytes:
+        if count and self.used_bytes + count > self.limit_bytes - self.excess_bytes:
             return False
-        self._add(count)
+        self.add(count)
         return True
 
     def release(self, count: int) -> None:
@@ -39,18 +43,25 @@
     @property
     def share_bytes(self) -> int:
         """What the holder of one account may hold now."""
+        return self._part_of_free(FREE_SHARES)
+
+    @property
+    def request_share_bytes(self) -> int:
+        """What one request that has not arrived whole may take now."""
+        return self._part_of_free(REQUEST_FREE_SHARES)
+
+    def _part_of_free(self, parts: int) -> int:
         set_aside_bytes = min(
             self.max_holders * MIN_SHARE_BYTES, int(self.limit_bytes * MAX_SET_ASIDE_FRACTION)
         )
-        share_bytes = (self.limit_bytes - set_aside_bytes - self.used_bytes) // FREE_SHARES
-        if share_bytes >= MAX_SHARE_BYTES:
-            return MAX_SHARE_BYTES
-        return share_bytes if share_bytes > MIN_SHARE_BYTES else MIN_SHARE_BYTES
+        free_bytes = self.limit_bytes - set_aside_bytes - self.excess_bytes - self.used_bytes
+        return min(max(free_bytes // parts, MIN_SHARE_BYTES), MAX_SHARE_BYTES)
 
     def open_account(self) -> MemoryAccount:
         return MemoryAccount(self)
 
-    def _add(self, count: int) -> None:
+    def add(self, count: int) -> None:
+        """Records bytes that are held already, whether or not they are left."""
         self.used_bytes += count
         self.peak_bytes = max(self.peak_bytes, self.used_bytes)
 
@@ -58,6 +69,8 @@
 class MemoryAccount:
     """What one holder holds."""
 
+    __slots__ = ("budget", "held_bytes")
+
     def __init__(self, budget: Budget) -> None:
         self.budget = budget
         self.held_bytes = 0
@@ -75,6 +88,6 @@
             return
         self.held_bytes = count
         if added > 0:
-            self.budget._add(added)
+            self.budget.add(added)
         else:
             self.budget.release(-added)
--- a/flintlatch/net/client.py
+++ b/flintlatch/net/client.py
@@ -21,8 +21,10 @@
 from flintlatch.net.sending import OutputProgress, unsent_bytes
 
 MAX_PIPELINED = 2  # requests read ahead on a connection before reading is paused
-# Parsed before the requests in it are handled, so that hundreds of pipelined requests are not parsed at once.
-PARSE_CHUNK_BYTES = 4096
+PARSE_CHUNK_BYTES = 4096  # of a body, parsed at once
+# The same of heads: the objects of a small request take many times its bytes, and are kept until the requests
+# before it are answered.
+PARSE_HEAD_BYTES = 512
 MAX_CONSECUTIVE_ERRORS = 8  # rejected requests in a row, after which the connection is closed
 BODY_IDLE_TIMEOUT_S = 0.75  # without a byte of a body, once the time for a head is over
 MAX_DISCARDED_BYTES = 1024 * 1024  # read and dropped behind the last request
@@ -203,7 +205,7 @@
     def _refuse_beyond_share(self) -> None:
         """Refuses an incomplete request that takes more memory than one client may hold now, before anything
         of it is sent to a server."""
-        if self.partial_bytes() > self.account.budget.share_bytes:
+        if self.partial_bytes() > self.account.budget.request_share_bytes:
             self._reject(503)
 
     def pause_writing(self) -> None:
@@ -247,7 +249,7 @@
     def _process(self) -> None:
         """Handles queued requests in order, and parses more while few are queued."""
         while not self.closing or self.queue:
-            while self.may_start_request() and self.queue:
+            while self.may_start_request() and self._next_is_certain():
                 self._handle(self.queue.popleft())
             if not self.unparsed or self.closing or not self.may_read_ahead():
                 break
@@ -261,6 +263,13 @@
         self._update_state()
         self.update_account()
 
+    def _next_is_certain(self) -> bool:
+        """Whether the first queued request may be handled: what follows it directly, as far as it was
+        received, was parsed and puts its length in no doubt."""
+        if len(self.queue) != 1:
+            return bool(self.queue)
+        return not self.unparsed or self.request_started or self.closing
+
     def _update_state(self) -> None:
         if self.transport.is_closing() or self.state in (ConnectionState.LINGERING, ConnectionState.CLOSED):
             return
@@ -296,7 +305,7 @@
 
     def parse_limit(self) -> int:
         """Number of bytes that may be parsed now."""
-        return PARSE_CHUNK_BYTES
+        return PARSE_CHUNK_BYTES if self._head_done else PARSE_HEAD_BYTES
 
     def _parse(self, chunk: bytes) -> None:
         assert self.parser is not None
--- a/flintlatch/net/engine.py
+++ b/flintlatch/net/engine.py
@@ -115,7 +115,7 @@
         self.memory = memory or Budget(NO_LIMIT_BYTES)
         self.settings, self.wire, self.seed = settings, wire, seed
         self.loop = asyncio.get_running_loop()
-        self.turns = TurnSchedule(self.loop.call_soon)
+        self.turns = TurnSchedule(self.loop.call_soon, memory=self.memory)
         self.balancer = Balancer(settings, seed)
         self.backends = Backends(
             wire.connect_timeout_ms,
--- a/flintlatch/net/frontend.py
+++ b/flintlatch/net/frontend.py
@@ -9,7 +9,6 @@
 from typing import cast
 
 from flintlatch.net import connections
-from flintlatch.net.allocator import AllocatorTrim
 from flintlatch.net.client import Client
 from flintlatch.net.clock import now_ms
 from flintlatch.net.connections import ClientConnections, ConnectionState
@@ -17,12 +16,15 @@
 from flintlatch.net.engine import Engine
 from flintlatch.net.listener import open_listener, queued_connections
 from flintlatch.net.log import log
+from flintlatch.net.process_memory import MemoryControl
 from flintlatch.net.receiving import Receiver
 from flintlatch.net.request import Reader
 
 ACCEPTS_PER_TURN = 16  # so that requests on open connections need not wait for a flood of new connections
 # Where other processes accept from the same socket, so that one of them does not take all connections.
 ACCEPTS_PER_TURN_SHARED = 1
+MEMORY_CHECK_INTERVAL_S = 0.05  # between two looks at the size of the process
+MIN_CONNECTIONS = 32  # that are accepted even while the process is too large
 SWEEP_INTERVAL_S = 0.25  # between checks for expired timeouts
 IDLE_TIMEOUT_S = 30.0  # for a kept connection, while at most half of the connection limit is in use
 # While keep-alive is disabled: most idle clients send another request in this time, and its response closes
@@ -60,7 +62,8 @@
         self.accepts_per_turn = accepts_per_turn
         self.loop = asyncio.get_running_loop()
         self.clients: ClientConnections[Client] = ClientConnections()
-        self.allocator_trim = AllocatorTrim(engine.memory)
+        self.memory_control: MemoryControl | None = None  # set where the process has a memory limit
+        self.max_by_memory = max_connections
         # Descriptors in use by clients, including connections that are being opened or closed.
         self.connection_count = 0
         self.opening_tasks: set[asyncio.Task[object]] = set()
@@ -81,6 +84,7 @@
         # Since when connections have waited in the kernel's queue; None: they are accepted as they come.
         self.accept_delayed_since_ms: float | None = None
         self.sweep_timer: asyncio.TimerHandle | None = None
+        self.memory_timer: asyncio.TimerHandle | None = None
 
     def make_client(self) -> Client:
         return Client(self)
@@ -96,6 +100,7 @@
         self.address = "{}:{}".format(*listeners[0].getsockname()[:2])
         self._resume_accepting()
         self._sweep()
+        self._check_memory()
 
     def ready(self) -> bool:
         here = not self.stopping or self.address_still_served
@@ -153,7 +158,7 @@
 
     def _accept_one(self, listener: socket.socket) -> AcceptResult:
         """Accepts one connection from the kernel's queue, if there is one."""
-        full = self.connection_count >= self.max_connections
+        full = self.is_full()
         evicted = None
         if full:
             is_crowded = queued_connections(listener) >= CROWDED_QUEUE
@@ -215,7 +220,18 @@
     def _sweep(self) -> None:
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.clients.sweep(self._idle_timeout_s())
-        self.allocator_trim.check()
+
+    def _check_memory(self) -> None:
+        if self.memory_control is not None:
+            self.memory_timer = self.loop.call_later(MEMORY_CHECK_INTERVAL_S, self._check_memory)
+            self.memory_control.check()
+
+    def is_full(self) -> bool:
+        """Whether a further connection needs the place of another one."""
+        limit = self.max_connections
+        if self.engine.memory.excess_bytes:
+            limit = min(limit, MIN_CONNECTIONS)
+        return self.connection_count >= limit
 
     def _idle_timeout_s(self) -> float:
         if self.keep_alive_disabled:  # the full time for each client, however long it was idle before
@@ -283,8 +299,9 @@
             self.engine.fail_all()
             await asyncio.sleep(FINAL_FLUSH_S)
             await self._finish_transfers()
-        if self.sweep_timer is not None:
-            self.sweep_timer.cancel()
+        for timer in (self.sweep_timer, self.memory_timer):
+            if timer is not None:
+                timer.cancel()
 
     async def _all_closed_within(self, seconds: float) -> bool:
         if not self.connection_count:
--- a/flintlatch/net/receiving.py
+++ b/flintlatch/net/receiving.py
@@ -90,6 +90,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         data = bytes(self.turns.read_buffer[:nbytes])
+        self.turns.memory.add(nbytes)
         self._pending = self._pending[self._position :] + data if self._pending else data
         self._position = 0
         self.received_ms = now_ms()
@@ -136,6 +137,7 @@
         if len(data) - self._position > limit:
             data = data[self._position : self._position + limit]
             self._position += limit
+            self.turns.memory.release(limit)
         else:
             data = data[self._position :] if self._position else data
             self._drop_pending()
@@ -148,6 +150,7 @@
             self._handling = False
 
     def _drop_pending(self) -> None:
+        self.turns.memory.release(self.pending_bytes)
         self._pending, self._position = b"", 0
 
     # Called by the connection
--- a/flintlatch/net/relay.py
+++ b/flintlatch/net/relay.py
@@ -121,6 +121,8 @@
         request_id = exchange.routing.id
         if request_id in self.exchanges or request_id in self.recent_ids or request_id in self.requests:
             raise KeyError(request_id)
+        if not self.has_room():
+            return False
         # The maximum is reserved at once, so that no slow request runs out of memory half-way.
         memory_bytes = self.max_memory_bytes(exchange, uploading)
         if not self.memory.reserve(memory_bytes):
@@ -128,6 +130,10 @@
         self.exchanges[request_id], self.reserved_bytes[request_id] = exchange, memory_bytes
         return True
 
+    def has_room(self) -> bool:
+        """Whether another exchange may be opened."""
+        return True
+
     def max_memory_bytes(self, exchange: Exchange, uploading: bool) -> int:
         """The largest number of bytes that the exchange may buffer."""
         return exchange.limits.max_buffered_bytes(uploading)
--- a/flintlatch/net/turns.py
+++ b/flintlatch/net/turns.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from flintlatch.exchange import NO_LIMIT_BYTES, Budget
+
 CONNECTION_SHARE_S = 0.001  # of one turn, for one connection
 TURN_LIMIT_S = 0.002  # for all connections; far below the shortest deadline, which takes some turns
 MAX_READ_BYTES = 64 * 1024  # of one read from a socket
@@ -27,10 +29,15 @@
     """The input of all connections of one event loop."""
 
     def __init__(
-        self, call_soon: Callable[[Callable[[], None]], object], clock: Callable[[], float] = time.monotonic
+        self,
+        call_soon: Callable[[Callable[[], None]], object],
+        clock: Callable[[], float] = time.monotonic,
+        memory: Budget | None = None,
     ) -> None:
-        """`call_soon`: calls a function in the next turn. `clock`: in seconds."""
+        """`call_soon`: calls a function in the next turn. `clock`: in seconds. `memory`: for the input that
+        waits."""
         self._call_soon, self._clock = call_soon, clock
+        self.memory = memory or Budget(NO_LIMIT_BYTES)
         self._waiting: dict[InputSource, None] = {}  # in the order in which they get their shares
         self._spent_s = 0.0  # of this turn
         self._is_scheduled = False
--- a/flintlatch/ops/succession.py
+++ b/flintlatch/ops/succession.py
@@ -164,7 +164,8 @@
         to_backends, to_clients = split_descriptors(
             self.max_descriptors // 2 if shared else self.max_descriptors
         )
-        self.engine.backends.max_connections, self.frontend.max_connections = to_backends, to_clients
+        self.engine.backends.max_connections = to_backends
+        self.frontend.max_connections = min(to_clients, self.frontend.max_by_memory)
 
     def close(self) -> None:
         """Withdraws the offer. `successor_serves` keeps its value."""
--- a/flintlatch/platform/__init__.py
+++ b/flintlatch/platform/__init__.py
@@ -4,5 +4,6 @@
 from flintlatch.platform.build import build
 from flintlatch.platform.engine import PlatformEngine
 from flintlatch.platform.front import PlatformFrontend
+from flintlatch.platform.memory import PROCESS_BYTES
 
-__all__ = ["PlatformEngine", "PlatformFrontend", "build"]
+__all__ = ["PROCESS_BYTES", "PlatformEngine", "PlatformFrontend", "build"]
--- a/flintlatch/platform/build.py
+++ b/flintlatch/platform/build.py
@@ -6,10 +6,11 @@
 
 from flintlatch.api import Settings
 from flintlatch.net.addresses import AddressOwners
+from flintlatch.net.process_memory import MemoryControl, ResidentSize
 from flintlatch.net.request import Reader
 from flintlatch.platform.engine import PlatformEngine
 from flintlatch.platform.front import PlatformFrontend
-from flintlatch.platform.limits import memory_budget_bytes
+from flintlatch.platform.memory import PROCESS_BYTES, plan_memory
 from flintlatch.platform.node import PlatformConnection
 from flintlatch.settings import SocketSettings
 
@@ -24,16 +25,18 @@
     to_backends: int,
     to_clients: int,
     memory_mb: float,
-    *accepts_per_turn: int,
+    process_bytes: int = PROCESS_BYTES,
 ) -> tuple[PlatformEngine, PlatformFrontend]:
-    """`memory_mb`: the memory limit of the process. `accepts_per_turn`: connections accepted in one loop
-    turn, if other processes accept from the same socket."""
-    budget_bytes = memory_budget_bytes(memory_mb, to_backends + to_clients)
+    """`memory_mb`: the memory limit of the process, which takes `process_bytes` now."""
+    plan = plan_memory(memory_mb, to_clients, process_bytes)
     settings = replace(
         settings,
         all_transfers=max(1, int(to_backends * TRANSFER_FRACTION)),
-        all_transfer_bytes=int(budget_bytes * UPLOAD_MEMORY_FRACTION),
+        all_transfer_bytes=int(plan.budget_bytes * UPLOAD_MEMORY_FRACTION),
     )
-    engine = PlatformEngine(settings, wire, seed, to_backends, budget_bytes, (), PlatformConnection)
+    engine = PlatformEngine(settings, wire, seed, to_backends, plan.budget_bytes, (), PlatformConnection)
+    engine.max_exchanges = plan.max_exchanges
     engine.address_owners = AddressOwners()
-    return engine, PlatformFrontend(engine, Reader(settings, wire), to_clients, *accepts_per_turn)
+    frontend = PlatformFrontend(engine, Reader(settings, wire), plan.max_clients)
+    frontend.memory_control = MemoryControl(engine.memory, plan.safe_bytes, ResidentSize().read)
+    return engine, frontend
--- a/flintlatch/platform/engine.py
+++ b/flintlatch/platform/engine.py
@@ -7,6 +7,9 @@
 from flintlatch.exchange import Exchange, Request
 from flintlatch.net.engine import Engine, PendingRequest
 from flintlatch.net.relay import RelayEngine
+from flintlatch.platform.memory import MIN_EXCHANGES
+
+MAX_EXCHANGES = 1 << 30  # where the memory is not limited
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +23,14 @@
 class PlatformEngine(RelayEngine):
     """The relay engine with the rules of the platform's protocol."""
 
+    max_exchanges = MAX_EXCHANGES  # by the memory of the process
+    min_exchanges = MIN_EXCHANGES  # that are taken even while the process is too large
+
+    def has_room(self) -> bool:
+        """Whether another exchange may be opened, for the memory that its objects take."""
+        limit = self.min_exchanges if self.memory.excess_bytes else self.max_exchanges
+        return len(self.exchanges) < limit
+
     def open_requests(self) -> int:
         """Requests that are complete and have not ended; one whose response is still passed on has not
         ended."""
--- a/flintlatch/platform/front.py
+++ b/flintlatch/platform/front.py
@@ -370,12 +370,10 @@
 
 
 class PlatformFrontend(Frontend):
-    """Accepts clients of the platform's protocol. `accepts_per_turn`: at most one value, as in `Frontend`."""
+    """Accepts clients of the platform's protocol."""
 
-    def __init__(
-        self, engine: PlatformEngine, reader: Reader, max_connections: int, *accepts_per_turn: int
-    ) -> None:
-        super().__init__(engine, reader, max_connections, *accepts_per_turn)
+    def __init__(self, engine: PlatformEngine, reader: Reader, max_connections: int) -> None:
+        super().__init__(engine, reader, max_connections)
         self.platform_engine = engine
 
     def make_client(self) -> Client:
--- a/flintlatch/platform/limits.py
+++ b/flintlatch/platform/limits.py
@@ -23,21 +23,8 @@
 UPLOAD_IDLE_TIMEOUT_S = 15.0  # without a byte from the client or to the server, whichever is waited for
 RESPONSE_IDLE_TIMEOUT_S = 120.0  # without a byte from a server that has to send
 UPLOAD_TIMEOUT_MS = 600_000.0  # 32 MB at 64 kB/s take 500 s, and the rest is a margin
-# Of a process without connections, and of one connection of either side without input and output.
-PROCESS_BYTES, CONNECTION_BYTES = 22_000_000, 8 * 1024
-USABLE_MEMORY_FRACTION = 0.75  # the rest is for the gaps between objects, which the allocator keeps
-MIN_BUDGET_FRACTION = 0.1  # of the memory limit, where the process itself takes most of it
 GATHER_TIMEOUT_S = 0.05  # for the end of a response without a length: most are short and arrive at once
 
-
-def memory_budget_bytes(memory_mb: float, connections: int) -> int:
-    """Memory for what is held for clients and servers, of a process that may use `memory_mb` in all."""
-    limit_bytes = memory_mb * 1e6
-    process_bytes = PROCESS_BYTES + connections * CONNECTION_BYTES
-    usable_bytes = limit_bytes * USABLE_MEMORY_FRACTION - process_bytes
-    return int(max(usable_bytes, limit_bytes * MIN_BUDGET_FRACTION))
-
-
 EXCHANGE_LIMITS = ExchangeLimits(
     ProgressLimits(UPLOAD_IDLE_TIMEOUT_S, 0.0),  # no minimum rate, here and below
     UPLOAD_TIMEOUT_MS,
--- a/flintlatch/platform/node.py
+++ b/flintlatch/platform/node.py
@@ -107,9 +107,11 @@
 
     def pause_writing(self) -> None:
         self.writing_paused = self.write_incomplete = True
+        self._update_account()
 
     def resume_writing(self) -> None:
         self.writing_paused = False
+        self._update_account()
         if self.uploading:
             self.send_upload()
         else:
@@ -123,6 +125,13 @@
         if exchange is not None:
             exchange.mark_request_sent(now_ms() / 1000, self)
 
+    def _update_account(self) -> None:
+        """Records what is held of the request, if the server does not read it, and of the response."""
+        held_bytes = len(self._body)
+        if self.writing_paused and self.transport is not None:
+            held_bytes += self.transport.get_write_buffer_size()
+        self.account.set_held(held_bytes)
+
     # Receiving the response
 
     def receive_limit(self) -> int:
@@ -188,7 +197,7 @@
             gather_time_over = (
                 self.gather_timer is not None and self.gather_timer.when() <= self.pool.loop.time()
             )
-            self.account.set_held(len(self._body))
+            self._update_account()
             too_long = max(len(self._body), self.body_length or 0) > MAX_BODY
             if too_long or gather_time_over or not self.account.room_bytes:
                 self._begin_streaming()
@@ -203,7 +212,7 @@
         self._cancel_gather_timer()
         now_s = now_ms() / 1000
         body, self._body = bytes(self._body), bytearray()
-        self.account.set_held(0)
+        self._update_account()
         exchange.begin(now_s, self, Head(200, self._forwarded_headers(), length=self.body_length))
         if exchange.phase is not Phase.RESPONDING or exchange.node is not self:
             self._malformed = True  # another attempt's response was first: this one is dropped
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,10 +12,10 @@
 
 import uvloop
 
-from flintlatch.__main__ import Config, start
 from flintlatch.net.frontend import Frontend
 from flintlatch.net.guard import bugs
 from flintlatch.platform import PlatformEngine
+from flintlatch.program import Config, start
 
 TEST_TIMEOUT_S = 60.0  # far longer than any test needs: reached only by a test that hangs
 PURCHASE = {"Name": "purchase", "AimMs": 20000, "HardLimitMs": 30000, "Effect": "idempotency_key",
--- a/tests/ops/test_succession.py
+++ b/tests/ops/test_succession.py
@@ -13,10 +13,10 @@
 import pytest
 
 from flintlatch import handover
-from flintlatch.__main__ import Config, start
 from flintlatch.net.backends import split_descriptors
 from flintlatch.net.listing import read_listing
 from flintlatch.ops.succession import HotRestart, find_predecessor, offer_path_prefix
+from flintlatch.program import Config, start
 from flintlatch.standin.proxy import ProxyProcess, free_address, write
 from tests.loopback import Client, ScriptedServer, configuration, listing, proxy, run, target
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -11,10 +11,12 @@
 import pytest
 
 from flintlatch.exchange import MIN_SHARE_BYTES, Budget
-from flintlatch.net.allocator import TRIM_BYTES, AllocatorTrim
-from flintlatch.net.http1 import MAX_FIELDS
+from flintlatch.net.backends import split_descriptors
+from flintlatch.net.http1 import MAX_BODY, MAX_FIELDS, MAX_HEAD
+from flintlatch.net.process_memory import TRIM_BYTES, MemoryControl
 from flintlatch.net.receiving import MIN_READ_BYTES, SLICE_BYTES, pending_bytes
 from flintlatch.platform.front import PlatformClient
+from flintlatch.platform.memory import CLIENT_BYTES, EXCHANGE_BYTES, PROCESS_BYTES, plan_memory
 from flintlatch.platform.node import PlatformConnection
 from tests.loopback import Proxy, proxy, run
 from tests.test_leaving import request_head, until
@@ -243,10 +245,50 @@
 def test_freed_memory_goes_back_to_the_system_once_it_is_much(monkeypatch: pytest.MonkeyPatch) -> None:
     calls: list[int] = []
     budget = Budget(1 << 30)
-    trim = AllocatorTrim(budget)
-    monkeypatch.setattr(trim, "_malloc_trim", calls.append)
+    control = MemoryControl(budget, safe_bytes=1, read_size=lambda: 0)
+    monkeypatch.setattr(control, "_malloc_trim", calls.append)
     account = budget.open_account()
     for held, trims in ((2 * TRIM_BYTES, 0), (TRIM_BYTES + 1, 0), (TRIM_BYTES, 1), (1, 1), (0, 2)):
         account.set_held(held)
-        trim.check()
+        control.check()
         assert len(calls) == trims
+
+
+def test_a_process_that_is_too_large_may_hold_so_much_less(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a budget that is kept although the process is larger than planned.
+    budget, size = Budget(100 * MIN_SHARE_BYTES), [900]
+    control = MemoryControl(budget, safe_bytes=1000, read_size=lambda: size[0])
+    monkeypatch.setattr(control, "_malloc_trim", None)
+    for size[0], excess_bytes in ((900, 0), (1000 + budget.limit_bytes, budget.limit_bytes), (1000, 0)):
+        control.check()
+        assert budget.excess_bytes == excess_bytes
+        assert budget.reserve(1) is (not excess_bytes)
+        assert (budget.share_bytes == MIN_SHARE_BYTES) is bool(excess_bytes)
+
+
+@pytest.mark.parametrize("memory_mb", [32, 48, 64, 96, 192])
+@pytest.mark.parametrize("descriptors", [256, 1024])
+def test_the_plan_of_the_memory_stays_below_the_limit(memory_mb: int, descriptors: int) -> None:
+    to_clients = split_descriptors(descriptors)[1]
+    plan = plan_memory(memory_mb, to_clients)
+    objects_bytes = plan.max_clients * CLIENT_BYTES + plan.max_exchanges * EXCHANGE_BYTES
+    assert PROCESS_BYTES + objects_bytes + plan.budget_bytes < plan.safe_bytes < memory_mb * 1e6
+    # A short body with its head is taken while little is held.
+    assert Budget(plan.budget_bytes, to_clients).request_share_bytes > MAX_BODY + MAX_HEAD
+
+
+def test_a_request_beyond_what_memory_allows_is_refused_before_it_is_sent() -> None:
+    async def test() -> None:
+        async with proxy() as p:
+            p.engine.max_exchanges = 1
+            first, second = await p.client(), await p.client()
+            first.send(x_call_id="first")
+            received = await p.backends[0].requests.get()
+            assert (await second.ask(x_call_id="second")).status == 503
+            received.reply()
+            assert (await first.reply()).status == 200
+            second.send(x_call_id="third")
+            (await p.backends[0].requests.get()).reply()
+            assert (await second.reply()).status == 200
+
+    run(test())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -187,7 +187,7 @@
 
 PROGRAM_WITH_SIGHUP_DURING_START = """
 import os, signal, sys
-from flintlatch import __main__ as program
+from flintlatch import program
 
 class Config(program.Config):
     def __init__(self, env):
@@ -230,7 +230,7 @@
 
 PROGRAM_WITH_SIGNALS_AT_THE_END = """
 import os, signal, sys, uvloop
-from flintlatch import __main__ as program
+from flintlatch import program
 
 run = uvloop.run
 
--- a/tests/test_recent_ids.py
+++ b/tests/test_recent_ids.py
@@ -11,10 +11,10 @@
 
 import pytest
 
-from flintlatch.__main__ import Config, start
 from flintlatch.net import recent_ids as recent_ids_module
 from flintlatch.net.recent_ids import WINDOW, RecentIds, SharedIds, key_of
 from flintlatch.ops.succession import HotRestart, find_predecessor
+from flintlatch.program import Config, start
 from tests.loopback import Client, configuration, proxy, run, target
 from tests.test_leaving import until
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from flintlatch.__main__ import MAX_DEADLINE_S, linger_duration_s, stop_duration_s
 from flintlatch.api import RequestClass, Settings
+from flintlatch.program import MAX_DEADLINE_S, linger_duration_s, stop_duration_s
 from tests.loopback import Client, ScriptedServer, configuration, proxy, run, target
 from tests.test_program import COMMAND, write_config
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -132,7 +132,7 @@
 
 PROGRAM_WITH_FAILING_START = """
 import builtins, errno, os, socket, sys
-from flintlatch import __main__ as program
+from flintlatch import program
 
 FAILURES = {"socket": 3, "open": 3}
 
