Pass long responses on from their head, however late their body comes

Cause: the time to the beginning of a response was applied until the first byte of its body: a response by length began with it, and the gather timer of the others did nothing without one.

Change: a response that may be long begins 50 ms after its head at the latest, in all framings alike. A short response by length is known to be short, so it is still given up at the time of the attempt, when it is worth nothing; one whose length is not known may be long and is passed on.

--- a/flintlatch/platform/node.py
+++ b/flintlatch/platform/node.py
@@ -156,6 +156,8 @@
             if not length.isdigit() or len(length) > 18 or int(length) > MAX_LONG_BODY_BYTES:
                 return False
             self.body_length = int(length)
+            if self.body_length > MAX_BODY:
+                self._start_gather_timer()
             return True
         if codings:
             if codings[0].strip().lower() != b"chunked":
@@ -166,12 +168,12 @@
             self.until_close = True  # RFC 9112 section 6.3, rule 8
         else:
             return False
-        self.gather_timer = self.pool.loop.call_later(GATHER_TIMEOUT_S, self._on_gather_timeout)
+        self._start_gather_timer()
         return True
 
-    def _on_gather_timeout(self) -> None:
-        if self._body:
-            self._begin_streaming()
+    def _start_gather_timer(self) -> None:
+        """Of a response that may be long, the time of the attempt counts up to its beginning."""
+        self.gather_timer = self.pool.loop.call_later(GATHER_TIMEOUT_S, self._begin_streaming)
 
     def on_body(self, body: bytes) -> None:
         if self._complete or self._malformed:
