Serve connections by their recent use of the loop, in slices that fit their cost

Cause: a slice of 16 KiB was handled whole, some 400 readiness calls or 10 ms, which the bound of a turn does not see; and each connection had the same share, so that many at full speed had the loop.

Change: requests come in slices of 512 bytes; chunked bodies and responses in slices that grow and shrink with the time that they take; of the connections that wait, the one that has used the least time lately comes first, in order within steps of 2 ms.

--- a/flintlatch/net/receiving.py
+++ b/flintlatch/net/receiving.py
@@ -15,9 +15,12 @@
 from flintlatch.net.clock import now_ms
 from flintlatch.net.guard import bugs
 from flintlatch.net.polling import TcpInfo, has_event, peek, readable_bytes, receive_memory, tcp_info
-from flintlatch.net.turns import MAX_READ_BYTES, TurnSchedule
+from flintlatch.net.turns import MAX_READ_BYTES, TurnSchedule, Usage
 
 SLICE_BYTES = 16 * 1024  # handed to a connection at once, if it may be many small pieces
+MIN_SLICE_BYTES = 512  # with small messages in it, far less than a connection's share of a turn
+# A slice that takes less time is followed by one of twice the size, and one that takes more by half of it.
+SHORT_SLICE_S, LONG_SLICE_S = 0.0001, 0.0003
 MIN_READ_BYTES = 2 * 1024  # whatever room is left: a connection without room pauses reading
 # The window is closed before the last byte is allocated: with room for less than a segment, RFC 9293 section
 # 3.8.6.2.2, and each byte of it may be allocated twice.
@@ -65,6 +68,8 @@
         self._paused = False  # by the connection
         self._reading = True  # whether the transport reads
         self._handling = self._ended = False
+        self._slice_bytes = MIN_SLICE_BYTES
+        self.usage = Usage()
 
     @property
     def pending_bytes(self) -> int:
@@ -127,13 +132,19 @@
             self._drop_pending()
         if not self._pending or self._paused:
             return False
-        self._hand_on_slice()
+        began_s = self.turns.now_s()
+        if self._hand_on_slice():
+            self._adapt_slice(self.turns.now_s() - began_s)
         if not self._reading:
             self._update_reading()
         return bool(self._pending) and not self._paused
 
-    def _hand_on_slice(self) -> None:
+    def _hand_on_slice(self) -> bool:
+        """Returns whether the slice may have been many small pieces."""
         data, limit = self._pending, self.connection.slice_limit()
+        may_be_small_pieces = limit == SLICE_BYTES
+        if may_be_small_pieces:
+            limit = self._slice_bytes
         if len(data) - self._position > limit:
             data = data[self._position : self._position + limit]
             self._position += limit
@@ -148,6 +159,16 @@
             self._fail("data_received", error)
         finally:
             self._handling = False
+        return may_be_small_pieces
+
+    def _adapt_slice(self, elapsed_s: float) -> None:
+        """Fits the next slice to the cost of this one."""
+        if self._paused:  # the slice is not handled yet
+            self._slice_bytes = MIN_SLICE_BYTES
+        elif elapsed_s < SHORT_SLICE_S:
+            self._slice_bytes = min(2 * self._slice_bytes, SLICE_BYTES)
+        elif elapsed_s > LONG_SLICE_S:
+            self._slice_bytes = max(self._slice_bytes // 2, MIN_SLICE_BYTES)
 
     def _drop_pending(self) -> None:
         self.turns.memory.release(self.pending_bytes)
--- a/flintlatch/platform/front.py
+++ b/flintlatch/platform/front.py
@@ -7,7 +7,7 @@
 from math import inf
 
 from flintlatch.exchange import BodyTooLarge, Exchange, Fields, Piece, ProxyResponse, Response, RoutingInfo
-from flintlatch.net.client import READY_PATH, REASON_PHRASES, Client
+from flintlatch.net.client import PARSE_HEAD_BYTES, READY_PATH, REASON_PHRASES, Client
 from flintlatch.net.clock import now_ms
 from flintlatch.net.connections import ConnectionState
 from flintlatch.net.counts import CloseReason
@@ -269,9 +269,12 @@
 
     def slice_limit(self) -> int:
         incoming = self.incoming
-        if incoming is None or incoming.length is None:
+        if incoming is None:
+            return PARSE_HEAD_BYTES
+        if incoming.length is None:
             return SLICE_BYTES
-        return MAX_READ_BYTES  # a body by length is one piece
+        # A body by length is one piece; what follows it is not.
+        return max(min(incoming.length - len(self._body), MAX_READ_BYTES), 1)
 
     # `ClientSide` of an exchange
 
