--- a/flintlatch/standin/soak/run.py
+++ b/flintlatch/standin/soak/run.py
@@ -16,7 +16,7 @@
 from flintlatch.api import Effect, RequestClass, Scope
 from flintlatch.net.clock import now_ms
 from flintlatch.standin.crowd import Crowd, CrowdKind, CrowdReport
-from flintlatch.standin.flood import Flood, FloodKind
+from flintlatch.standin.flood import FloodKind, start_flood
 from flintlatch.standin.ledger import Ledger
 from flintlatch.standin.memory import MemoryWatch
 from flintlatch.standin.node import Fault, Shape
@@ -103,6 +103,7 @@
         self.bad_clients = BadClients(self.address, schedule.seed)
         self.transfers = TransferClients(self.address, CLASSES, self.audit, schedule.seed)
         self.crowd = Crowd(self.address, schedule.seed)
+        self.floods: list[asyncio.subprocess.Process] = []
         self.crowd_task: asyncio.Task[CrowdReport] | None = None
 
     async def play(self) -> Report:
@@ -146,6 +147,8 @@
         if hasattr(self, "program") and self.program.process.returncode is None:
             self.program.process.kill()
             await self.program.process.wait()
+        for flood in self.floods:
+            await flood.wait()
         self.reserved_address.close()
         if self.log_reader is not None:
             self.log_reader.cancel()
@@ -410,8 +413,8 @@
         elif kind is Kind.HOLDING_CROWD:
             self._start_crowd()
         elif kind is Kind.FLOOD:
-            flood = Flood(self.address, self.random.choice(list(FloodKind)), self.schedule.seed)
-            self._spawn(flood.run(FLOOD_CONNECTIONS, FLOOD_S))
+            flood_kind = self.random.choice(list(FloodKind))
+            self.floods.append(await start_flood(self.address, flood_kind, FLOOD_CONNECTIONS, FLOOD_S))
         else:
             await self._play_process_fault(kind)
 
